--- /dev/null
+++ b/oakfork/__init__.py
@@ -0,0 +1,1 @@
+"""oakfork: a quota-keeping gateway for a shared API."""
--- /dev/null
+++ b/oakfork/brain.py
@@ -0,0 +1,652 @@
+"""The decision module of oakfork: one gateway's judgement of every RPC.
+
+How it is called: Brain(birth, now) once, then brain.handle(now, event) for each event, in order; the answer is the
+list of commands to carry out, in order. Events and commands are the types of oakfork/interface.py; the packing of
+messages between gateways is oakfork/peerwire.py. Times are whole tenths of a millisecond. Nothing here does I/O,
+reads a clock or touches global state: the same events give the same commands.
+
+Each RPC is a generator, Brain._answer, read from top to bottom. It yields Wait, Send, PushBack or Abort and is
+resumed with what came of it. The mechanism (owner, bucket, tokens, capacity, retry-after) is that of
+docs/design.md; "Exception" in a comment marks a departure from it and says when it acts.
+"""
+import heapq
+from collections import deque
+from typing import Callable, Generator, NamedTuple
+
+from oakfork import interface as face
+from oakfork import peerwire as wire
+from oakfork.interface import NEVER_RAN, SECOND, Repeat, State, Status
+
+MASK = (1 << 64) - 1
+EARLY = 30          # pacing slack of a frame, 3 ms: about one tick of a gateway
+
+
+class Wait(NamedTuple):
+    """Yielded by an RPC: resume me with the next thing that concerns me, or with None at this time."""
+    until: int
+
+
+class Shares(NamedTuple):
+    """What one bucket holds: tokens a tenth of a millisecond, capacity, call-outs out at once (0: any)."""
+    rate: float
+    capacity: float
+    concurrency: int
+
+
+class Bucket:
+    """Tokens of one customer, here as owner or in the local slice. Dropped by Brain._check when full."""
+    __slots__ = ("tokens", "updated", "leases")
+
+    def __init__(self, tokens: float, now: int) -> None:
+        self.tokens, self.updated = tokens, now
+        self.leases: dict[tuple, int] = {}      # who holds an open call-out, and when that counts as lost
+
+
+class Server:
+    """What this gateway has seen of a server. One row a machine ever listed."""
+    __slots__ = ("zone", "cell", "state", "since", "open", "heard", "pace", "crowd", "bad", "limit", "rests",
+                 "aside_until", "next_cold")
+
+    def __init__(self) -> None:
+        self.zone = self.cell = self.since = 0
+        self.state = State.GONE
+        self.open: dict[tuple[int, int], int] = {}      # (rpc, call-out) -> sent at; emptied as they end
+        self.heard = 0
+        self.renew()
+
+    def renew(self) -> None:
+        self.pace, self.crowd = 1.0, 1.0    # latency against the method's mean, and own call-outs out meanwhile
+        self.bad = 0.0                      # recent share of call-outs that failed
+        self.limit = 1e9                    # own call-outs at once; learnt from refusals and from being set aside
+        self.rests, self.aside_until, self.next_cold = 0, 0, 0
+
+
+class Peer:
+    """The link to another gateway."""
+    __slots__ = ("life", "sent", "seen", "latest", "queue", "credit", "credited", "armed", "missed", "asks",
+                 "next_try", "skew", "pause")
+
+    def __init__(self, now: int) -> None:
+        self.life = 0                       # 0 until it has been heard
+        self.sent, self.seen, self.latest = 0, 0, 0
+        self.queue: deque[bytes] = deque()  # emptied by _flush
+        self.credit, self.credited, self.armed = 1.0, now, False
+        self.missed, self.next_try, self.pause = 0, 0, SECOND // 4
+        self.asks: dict[int, "Rpc"] = {}   # emptied by the answer, or by _forget_ask
+        self.skew: int | None = None
+
+
+class Hold(NamedTuple):
+    """Where an RPC's units and its place among the open call-outs were taken."""
+    table: dict | None      # buckets or slices of this gateway; None: at a peer
+    shares: Shares
+    owner: int
+    life: int               # of the owner
+    serial: int
+
+
+class Rpc:
+    """One RPC while it is unanswered or has call-outs out."""
+    __slots__ = ("id", "ask", "row", "soft", "dl", "run", "step", "out", "sent", "maybe", "asking", "hold", "over",
+                 "streaming")
+
+    def __init__(self, arrival: face.Arrival, row: "MethodRow", now: int) -> None:
+        self.id, self.ask, self.row = arrival.rpc, arrival, row
+        self.soft, self.dl = now + row.soft, now + arrival.time_left
+        self.run: Generator | None = None
+        self.step = 0                           # tells an outdated alarm from the awaited one
+        self.out: dict[int, int] = {}           # call-out -> server
+        self.maybe: dict[int, tuple[int, int]] = {}     # call-outs that may have run -> server, sent at
+        self.sent, self.asking = 0, -1
+        self.hold: Hold | None = None
+        self.over = self.streaming = False
+
+
+class MethodRow:
+    """What the module reads of a method, and the mean latency it learns."""
+    __slots__ = ("soft", "repeat", "group", "remembered", "late", "mean", "wait")
+
+    def __init__(self, method: face.Method) -> None:
+        self.soft, self.repeat, self.group = method.soft_deadline, method.repeat, method.group
+        self.remembered, self.late = method.remembered, method.late_utility
+        self.mean = method.soft_deadline / 8    # a first guess only: replaced within some twenty answers
+        self.wait = method.soft_deadline // 10  # for the owner's answer: the design page's starting value
+
+
+class Brain:
+    def __init__(self, birth: face.Birth, now: int) -> None:
+        self.birth, self.born, self.now = birth, now, now
+        self.chance = birth.seed & MASK
+        self.life = 1 + self._random(65535)     # names this start to the others
+        self.methods = [MethodRow(method) for method in birth.methods]
+        self.longest = max((method.deadline for method in birth.methods), default=SECOND)
+        self.servers: dict[int, Server] = {}
+        self.rpcs: dict[int, Rpc] = {}          # emptied as RPCs end
+        self.buckets: dict[int, Bucket] = {}    # as owner; emptied by _check
+        self.slices: dict[int, Bucket] = {}     # without the owner; emptied by _check
+        self.refusals: dict[int, tuple[int, float]] = {}    # customer -> until, units; emptied at until
+        self.peers = {i: Peer(now) for i in range(birth.gateways) if i != birth.index}
+        self.alarms: list[tuple[int, int, Callable, tuple]] = []
+        self.alarm_no = self.serial = 0
+        self.woken: int | None = None
+        self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
+        self.copies = 3.0                       # second copies that may be sent now
+        self.ready: list[int] = []
+        self.subscribed = False
+        self.last_send, self.send_gap = now, SECOND / 50
+        self.commands: list[face.Command] = []
+
+    # ---- the door
+
+    def handle(self, now: int, event: face.Event) -> list[face.Command]:
+        self.now, self.commands = now, []
+        match event:
+            case face.Arrival():
+                self._arrive(event)
+            case face.CallOutEnded():
+                self._ended(event)
+            case face.ServerList():
+                self._list(event)
+            case face.TimeCame():
+                self.woken = None if self.woken is None or now >= self.woken else self.woken
+            case face.PeerFrame():
+                self._frame(event)
+            case face.ClientGone(rpc):
+                self._close(self.rpcs.get(rpc))
+            case face.StreamStarted(rpc):
+                if rpc in self.rpcs:
+                    self.rpcs[rpc].streaming = True
+        while self.alarms and self.alarms[0][0] <= now:
+            _, _, act, args = heapq.heappop(self.alarms)
+            act(*args)
+        if self.alarms and (self.woken is None or self.alarms[0][0] < self.woken):
+            self.woken = self.alarms[0][0]
+            self.commands.append(face.Wake(0, self.woken - now))
+        return self.commands
+
+    def _at(self, time: int, act: Callable, *args) -> None:
+        self.alarm_no += 1
+        heapq.heappush(self.alarms, (max(time, self.now + 1), self.alarm_no, act, args))
+
+    def _random(self, below: int) -> int:
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & MASK
+        return (self.chance >> 33) % below
+
+    # ---- the mechanism: owner, bucket, ask, slice
+
+    def _owner(self, ask: face.Arrival) -> tuple[int, int]:
+        """The owner of a customer and the number of its gateways: its id hashed over them, sorted."""
+        count = max(1, self.birth.gateways)
+        gateways = sorted({(ask.first_gateway + i) % count for i in range(max(1, ask.spread))})
+        mixed = ask.customer * 0x9E3779B97F4A7C15 & MASK
+        return gateways[(mixed >> 33) % len(gateways)], len(gateways)
+
+    def _shares(self, plan: face.Plan, gateways: int) -> tuple[Shares, Shares]:
+        """The owner's bucket and a gateway's local slice.
+
+        Exception, only under a ceiling: the slices share what the ceiling leaves above the quota, if that is less
+        than the quota, so that the owner and every slice together stay under it however they are split."""
+        rate, burst = plan.rate, plan.burst
+        if plan.ceiling_rate:
+            if not rate:
+                rate, burst = plan.ceiling_rate / 2, plan.ceiling_burst / 2
+            rate, burst = min(rate, plan.ceiling_rate), min(burst, plan.ceiling_burst)
+            spare_rate = min(rate, plan.ceiling_rate - rate)
+            spare_burst = min(burst, plan.ceiling_burst - burst)
+        else:
+            spare_rate, spare_burst = rate, burst
+        concurrency = plan.concurrency
+        local = -(-concurrency // gateways)
+        return (Shares(rate / SECOND, burst, concurrency),
+                Shares(spare_rate / SECOND / gateways, spare_burst / gateways, local))
+
+    def _bucket(self, table: dict[int, Bucket], customer: int, shares: Shares, plan: face.Plan) -> Bucket:
+        """A missing bucket reads as full.
+
+        Exception, only under a ceiling: one that was started after us knows nothing of what was granted before,
+        and the ceiling ignores restarts; so there it reads as filled since our start, and empty at it."""
+        bucket = table.get(customer)
+        if bucket is None:
+            full = shares.capacity
+            if plan.ceiling_rate:
+                full = min(full, (self.now - self.born) * shares.rate)
+            bucket = table[customer] = Bucket(full, self.now)
+            if shares.rate:
+                self._at(self.now + int(shares.capacity / shares.rate) + 1, self._check, table, customer, shares)
+            else:
+                self._at(self.now + self.longest, self._check, table, customer, shares)
+        return bucket
+
+    def _refill(self, bucket: Bucket, shares: Shares) -> None:
+        bucket.tokens = min(shares.capacity, bucket.tokens + (self.now - bucket.updated) * shares.rate)
+        bucket.updated = self.now
+
+    def _take(self, table: dict, customer: int, shares: Shares, plan: face.Plan, units: float, holder: tuple) -> int:
+        """One serial refill-and-take: 0 for yes, otherwise the time until it could be."""
+        bucket = self._bucket(table, customer, shares, plan)
+        self._refill(bucket, shares)
+        if shares.concurrency:
+            # Quota by open call-outs: counted here, released at the end; what is never released expires.
+            for held in [held for held, lost in bucket.leases.items() if lost <= self.now]:
+                del bucket.leases[held]
+            if len(bucket.leases) >= shares.concurrency:
+                return max(1, int(self.mean_latency))
+        if shares.rate:
+            if bucket.tokens < units:
+                return max(1, int((units - bucket.tokens) / shares.rate))
+            bucket.tokens -= units
+        if shares.concurrency:
+            bucket.leases[holder] = self.now + self.longest
+        return 0
+
+    def _check(self, table: dict[int, Bucket], customer: int, shares: Shares) -> None:
+        """Drops a full bucket; looks again in burst / rate otherwise."""
+        bucket = table[customer]
+        self._refill(bucket, shares)
+        if bucket.tokens >= shares.capacity and all(lost <= self.now for lost in bucket.leases.values()):
+            del table[customer]
+            return
+        lasts = int(shares.capacity / shares.rate) + 1 if shares.rate else self.longest
+        self._at(self.now + lasts, self._check, table, customer, shares)
+
+    def _give(self, table: dict[int, Bucket], customer: int, units: float, most: float) -> None:
+        """Units come back (or, settled, go: a bucket may fall below nothing)."""
+        bucket = table.get(customer)
+        if bucket is not None:
+            bucket.tokens = min(most, bucket.tokens + units)
+
+    def _admit(self, rpc: Rpc) -> Generator[Wait, object, int]:
+        """0 if the RPC is inside its customer's quota, otherwise the time after which it could be."""
+        ask = rpc.ask
+        plan = self.birth.plans[ask.plan]
+        if not (plan.rate or plan.concurrency or plan.ceiling_rate):
+            return 0
+        owner, gateways = self._owner(ask)
+        whole, local = self._shares(plan, gateways)
+        self.serial = serial = (self.serial + 1) & 0xFFFF
+        if owner == self.birth.index:
+            return self._take_here(rpc, self.buckets, whole, serial)
+        # Exception: a refusal is remembered until its retry-after, so that a client's retries cost no fresh ask.
+        until, units = self.refusals.get(ask.customer, (0, 0.0))
+        if until > self.now and ask.units >= units:
+            return until - self.now
+        peer = self.peers.get(owner)
+        if peer and self.birth.peers and self.birth.mail_per_s and self._worth_asking(peer):
+            peer.asks[serial] = rpc
+            rpc.asking = serial
+            self._post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
+            self._at(self.now + 4 * SECOND, self._forget_ask, peer, serial)    # far past any useful answer
+            answer = yield Wait(min(rpc.dl, self.now + rpc.row.wait))
+            rpc.asking = -1
+            if isinstance(answer, wire.Answer):
+                if not answer.wait:
+                    rpc.hold = Hold(None, whole, owner, peer.life, serial)
+                    return 0
+                self.refusals[ask.customer] = (self.now + answer.wait, ask.units)
+                self._at(self.now + answer.wait, self._forget_refusal, ask.customer)
+                return answer.wait
+            peer.missed += 1
+        return self._take_here(rpc, self.slices, local, serial)
+
+    def _take_here(self, rpc: Rpc, table: dict, shares: Shares, serial: int) -> int:
+        ask, me = rpc.ask, self.birth.index
+        wait = self._take(table, ask.customer, shares, self.birth.plans[ask.plan], ask.units, (me, self.life, serial))
+        if not wait:
+            rpc.hold = Hold(table, shares, me, self.life, serial)
+        return wait
+
+    def _worth_asking(self, peer: Peer) -> bool:
+        """Exception: after two asks without a reply the owner counts as silent (down, stalled, cut off), and asks go
+        straight to the slice; one goes out every quarter of a second until anything is heard. Two, since a lost
+        message is common and a third wait would cost as much as the first."""
+        if peer.missed < 2:
+            return True
+        if self.now < peer.next_try:
+            return False
+        peer.next_try = self.now + peer.pause
+        return True
+
+    def _forget_ask(self, peer: Peer, serial: int) -> None:
+        peer.asks.pop(serial, None)
+
+    def _forget_refusal(self, customer: int) -> None:
+        if customer in self.refusals and self.refusals[customer][0] <= self.now:
+            del self.refusals[customer]
+
+    def _give_back(self, rpc: Rpc, units: float) -> None:
+        """Returns units to where they came from: not sent on, or settled for less (or, below 0, for more)."""
+        hold, ask = rpc.hold, rpc.ask
+        if hold is None or not units:
+            return
+        if hold.table is not None:
+            self._give(hold.table, ask.customer, units, hold.shares.capacity)
+        elif hold.life == self.peers[hold.owner].life:
+            self._post(hold.owner, wire.Return(ask.customer, ask.plan, units))
+
+    def _release(self, rpc: Rpc) -> None:
+        """The RPC holds no call-out any more."""
+        hold, customer = rpc.hold, rpc.ask.customer
+        if hold is None or not hold.shares.concurrency:
+            return
+        if hold.table is None:
+            if hold.life == self.peers[hold.owner].life:
+                self._post(hold.owner, wire.Release(hold.serial, customer))
+        elif customer in hold.table:
+            hold.table[customer].leases.pop((hold.owner, hold.life, hold.serial), None)
+
+    # ---- messages: coalesced per peer, paced to what a gateway takes in
+
+    def _post(self, to: int, item: wire.Item) -> None:
+        peer = self.peers[to]
+        peer.queue.append(wire.pack_item(item))
+        if not peer.armed:
+            peer.armed = True
+            self._at(self.now + 1, self._flush, to)     # later in this batch's reply or in the next
+
+    def _flush(self, to: int) -> None:
+        peer = self.peers[to]
+        peer.armed = False
+        # Nine tenths of the other's intake, shared by all who write to it; a credit of three lets a few
+        # frames go at once, which shortens the wait without passing the cap over a second.
+        rate = 0.9 * self.birth.mail_per_s / SECOND / max(1, len(self.peers))
+        peer.credit = min(3.0, peer.credit + (self.now - peer.credited) * rate)
+        peer.credited = self.now
+        if not peer.queue or not rate:
+            return
+        if peer.credit >= 1:
+            peer.credit -= 1
+            items, size = [], wire.HEADER.size
+            while peer.queue and size + len(peer.queue[0]) <= wire.LARGEST:
+                size += len(peer.queue[0])
+                items.append(peer.queue.popleft())
+            peer.sent = (peer.sent + 1) & 0xFFFF
+            clock = self.now // 10 & 0xFFFF
+            self.commands.append(face.Tell(to, wire.pack(self.life, peer.life, peer.sent, clock, items)))
+        if peer.queue:
+            peer.armed = True
+            self._at(self.now + max(EARLY, int((1 - peer.credit) / rate)), self._flush, to)
+
+    def _frame(self, event: face.PeerFrame) -> None:
+        frame, peer = wire.unpack(event.data), self.peers.get(event.sender)
+        if frame is None or peer is None or not frame.life:
+            return
+        if frame.life != peer.life:     # it has restarted: what it held or was asked is void
+            if peer.life:
+                self._restarted(event.sender, peer)
+            peer.life, peer.latest, peer.seen, peer.skew = frame.life, frame.number, 0, None
+        ahead = (frame.number - peer.latest + 0x8000 & 0xFFFF) - 0x8000
+        if ahead > 0:       # doubled frames are told by number; 64 back are remembered
+            peer.seen, peer.latest = (peer.seen << ahead | 1 << ahead - 1) & MASK, frame.number
+        elif ahead < 0:
+            if -ahead > 64 or peer.seen >> -ahead - 1 & 1:
+                return
+            peer.seen |= 1 << -ahead - 1
+        elif peer.skew is not None:
+            return
+        # Exception: a backlog that a stalled gateway or link lets through late is skipped; the delay of a frame is
+        # told against the least seen from that peer, and a third of a second is above any paced wait.
+        delay = (self.now // 10 - frame.clock) & 0xFFFF
+        if peer.skew is None or (delay - peer.skew + 0x8000 & 0xFFFF) < 0x8000:
+            peer.skew = delay
+        stale = (delay - peer.skew & 0xFFFF) > 300
+        if not stale:
+            peer.missed = 0
+        for item in frame.items:
+            if isinstance(item, wire.Ask):
+                if not stale and item.plan < len(self.birth.plans):
+                    plan = self.birth.plans[item.plan]
+                    wait = self._take(self.buckets, item.customer, self._shares(plan, 1)[0], plan, item.units,
+                                      (event.sender, frame.life, item.serial))
+                    self._post(event.sender, wire.Answer(item.serial, wait))
+            elif frame.to_life != self.life:
+                continue    # meant for the life before a restart
+            elif isinstance(item, wire.Answer):
+                self._answered(event.sender, peer, item)
+            elif isinstance(item, wire.Return):
+                if item.plan < len(self.birth.plans):
+                    most = self._shares(self.birth.plans[item.plan], 1)[0].capacity
+                    self._give(self.buckets, item.customer, item.units, most)
+            elif item.customer in self.buckets:
+                self.buckets[item.customer].leases.pop((event.sender, frame.life, item.serial), None)
+
+    def _answered(self, sender: int, peer: Peer, answer: wire.Answer) -> None:
+        rpc = peer.asks.pop(answer.serial, None)
+        if rpc is None:
+            return
+        if rpc.asking == answer.serial and not rpc.over:
+            self._resume(rpc, answer)
+        elif not answer.wait:       # a late yes: its units go back
+            self._post(sender, wire.Return(rpc.ask.customer, rpc.ask.plan, rpc.ask.units))
+            if self.birth.plans[rpc.ask.plan].concurrency:
+                self._post(sender, wire.Release(answer.serial, rpc.ask.customer))
+
+    def _restarted(self, index: int, peer: Peer) -> None:
+        peer.asks.clear()
+        peer.queue.clear()
+        for bucket in self.buckets.values():
+            for held in [held for held in bucket.leases if held[0] == index]:
+                del bucket.leases[held]
+
+    # ---- an RPC from top to bottom
+
+    def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
+        if self._choose(rpc) is None:       # overload: refused before it costs an ask
+            yield self._give_up(rpc)
+            return
+        wait = yield from self._admit(rpc)
+        plan = self.birth.plans[rpc.ask.plan]
+        # Beyond the quota an RPC goes on only where the plan says that this earns more than it costs.
+        if wait and (plan.ceiling_rate or plan.beyond_utility <= plan.beyond_cost):
+            yield face.PushBack(rpc.id, -(-wait // SECOND) * SECOND if self.birth.retry_after else 0)
+            return
+        copy_at = 0
+        while self.now < rpc.dl:
+            if not rpc.out or self.now >= copy_at and self._may_copy(rpc):
+                server = self._choose(rpc)
+                if server is not None:
+                    self.copies -= 1 if rpc.out else 0
+                    yield face.Send(rpc.id, server, 0)
+                    # A second copy once two fifths of the soft deadline are gone without an answer: late enough
+                    # to be rare, early enough for a copy of usual length to be in time.
+                    copy_at = self.now + rpc.row.soft * 2 // 5
+                elif not rpc.out:
+                    break
+            yield Wait(min(rpc.dl, copy_at if copy_at > self.now else rpc.dl))
+        yield self._give_up(rpc)
+
+    def _give_up(self, rpc: Rpc) -> face.Command:
+        """A pushback says that a further try is harmless; an abort promises nothing."""
+        row = rpc.row
+        harmless = not rpc.maybe or row.repeat == Repeat.IDEMPOTENT or (
+            row.repeat == Repeat.DEDUPLICATED and row.group == "all")
+        if harmless:
+            return face.PushBack(rpc.id, SECOND if self.birth.retry_after else 0)
+        return face.Abort(rpc.id)
+
+    def _may_copy(self, rpc: Rpc) -> bool:
+        return (self.birth.second_copies and self.copies >= 1 and not rpc.streaming
+                and (self.now < rpc.soft or rpc.row.late > 0))
+
+    def _arrive(self, arrival: face.Arrival) -> None:
+        rpc = Rpc(arrival, self.methods[arrival.method], self.now)
+        self.rpcs[rpc.id] = rpc
+        # A tenth of the RPCs may have a second copy, three in store: enough to step round a few silent servers,
+        # too little to double the load of an overloaded fleet.
+        self.copies = min(3.0, self.copies + 0.1)
+        rpc.run = self._answer(rpc)
+        self._resume(rpc, None)
+
+    def _resume(self, rpc: Rpc, value: object) -> None:
+        while not rpc.over:
+            rpc.step += 1
+            command = rpc.run.send(value)
+            if isinstance(command, Wait):
+                self._at(command.until, self._alarm, rpc, rpc.step)
+                return
+            self.commands.append(command)
+            if isinstance(command, face.Send):
+                value = self._sent(rpc, command.server)
+            else:
+                self._close(rpc)
+
+    def _alarm(self, rpc: Rpc, step: int) -> None:
+        if not rpc.over and rpc.step == step and not rpc.streaming:
+            self._resume(rpc, None)
+
+    def _sent(self, rpc: Rpc, index: int) -> int:
+        server, number = self.servers[index], rpc.sent
+        rpc.out[number] = index
+        rpc.maybe[number] = (index, self.now)
+        rpc.sent += 1
+        server.open[rpc.id, number] = self.now
+        gap = self.now - self.last_send
+        self.send_gap += (min(gap, SECOND) - self.send_gap) * 0.05      # over some twenty sends
+        self.last_send = self.now
+        ramp = self._ramp(server)
+        if ramp < 1:
+            server.next_cold = self.now + int(self.send_gap * max(1, len(self.ready)) / ramp)
+        return number
+
+    def _ended(self, event: face.CallOutEnded) -> None:
+        server = self.servers[event.server]
+        rpc = self.rpcs.get(event.rpc)
+        sent_at = server.open.pop((event.rpc, event.call_out), None)
+        if rpc is None or sent_at is None:
+            return
+        rpc.out.pop(event.call_out, None)
+        self._judge(server, rpc.row, event, sent_at)
+        if event.status in NEVER_RAN:
+            rpc.maybe.pop(event.call_out, None)
+        if event.status == Status.OK and event.true_units and self.birth.settles:
+            self._give_back(rpc, rpc.ask.units - event.true_units)
+        if rpc.over or event.final:
+            self._close(rpc)
+        else:
+            self._resume(rpc, event)
+
+    def _close(self, rpc: Rpc | None) -> None:
+        """The RPC has its final answer: call-outs still out are cancelled, what it holds goes back at the end."""
+        if rpc is None:
+            return
+        if not rpc.over:
+            rpc.over = True
+            rpc.run.close()
+            if not rpc.sent:
+                self._give_back(rpc, rpc.ask.units)
+            if self.birth.cancel:
+                self.commands.extend(face.Cancel(rpc.id, call_out) for call_out in rpc.out)
+        if not rpc.out:
+            self._release(rpc)
+            del self.rpcs[rpc.id]
+
+    # ---- servers: list, what is seen of them, choice
+
+    def _list(self, event: face.ServerList) -> None:
+        if self.birth.asks_list and (event.failed or not self.subscribed):
+            self.subscribed = not event.failed
+            self.commands.append(face.Subscribe())
+        if event.failed:
+            return
+        listed = set()
+        for entry in event.entries:
+            server = self.servers.setdefault(entry.server, Server())
+            listed.add(entry.server)
+            server.zone, server.cell, server.state = entry.zone, entry.cell, entry.state
+            if entry.up_since != server.since:      # another process on the machine: nothing learnt holds
+                server.since = entry.up_since
+                server.renew()
+        for index, server in self.servers.items():
+            if event.complete and index not in listed:
+                server.state = State.GONE
+        self.ready = [index for index, server in sorted(self.servers.items()) if server.state == State.READY]
+
+    def _ramp(self, server: Server) -> float:
+        """The part of its work that a server can do for certain: cold-share at its start, all after cold-time."""
+        age = self.now - server.since
+        if not server.since or age >= self.birth.cold_time:
+            return 1.0
+        return self.birth.cold_share + (1 - self.birth.cold_share) * max(0, age) / self.birth.cold_time
+
+    def _judge(self, server: Server, row: MethodRow, event: face.CallOutEnded, sent_at: int) -> None:
+        status, elapsed = event.status, self.now - sent_at
+        if status == Status.MOOT:
+            return
+        if status == Status.CANCELLED:
+            return
+        server.heard = self.now
+        if status == Status.FULL:   # not ill: it takes no more than this. Found again by one more an answer
+            server.limit = max(1.0, min(server.limit, len(server.open)) * 0.8)
+            return
+        if status == Status.OK:
+            crowd = len(server.open) + 1
+            # An answer tells the method's usual latency and how this server compares, over some ten answers.
+            row.mean += (elapsed - row.mean) * 0.05
+            self.mean_latency += (elapsed - self.mean_latency) * 0.05
+            server.pace += (elapsed / max(1.0, row.mean) - server.pace) * 0.1
+            server.crowd += (crowd - server.crowd) * 0.1
+            server.bad *= 0.8
+            if server.rests and server.limit < 16:      # a server set aside gets a trickle that doubles
+                server.limit *= 2
+            elif server.rests:
+                server.rests, server.limit = 0, 1e9
+            else:
+                server.limit += 0.2
+            return
+        # Guards against fast errors, lost connections, dead processes, hanging servers: any failure counts alike.
+        # Two in a row, or nearly a third of the recent ones, set the server aside for a second, then two, four, eight.
+        server.bad += (1 - server.bad) * 0.2
+        if server.bad > 0.3 and self.now >= server.aside_until or server.rests and server.limit < 16:
+            server.aside_until = self.now + (SECOND << min(3, server.rests))
+            server.rests, server.limit = server.rests + 1, 1.0
+
+    def _expected(self, server: Server, row: MethodRow) -> float:
+        """The latency to expect: the method's usual one, as this server compares, for its place in the crowd."""
+        return row.mean * server.pace * (len(server.open) + 1) / (server.crowd * self._ramp(server))
+
+    def _fit(self, server: Server) -> bool:
+        """Not set aside, not silent. Guards against what answers nothing (hangs, cuts, pauses, very slow servers):
+        something has been out for four usual latencies and nothing was heard meanwhile."""
+        if self.now < server.aside_until or len(server.open) >= server.limit:
+            return False
+        if server.open:
+            first = next(iter(server.open.values()))
+            return self.now - max(first, server.heard) < 4 * self.mean_latency
+        return True
+
+    def _choose(self, rpc: Rpc) -> int | None:
+        row = rpc.row
+        if rpc.sent >= self.birth.max_call_outs:
+            return None
+        allowed = [index for index in self.ready if index not in rpc.out.values()]
+        if rpc.maybe:
+            if row.repeat == Repeat.NON_IDEMPOTENT:
+                return None
+            if row.repeat == Repeat.DEDUPLICATED:
+                first, sent_at = next(iter(rpc.maybe.values()))
+                if self.now >= sent_at + row.remembered:
+                    return None
+                home = self.servers[first]
+                if row.group != "all":
+                    allowed = [i for i in allowed if getattr(self.servers[i], row.group) == getattr(home, row.group)]
+        # A cold server is sent its part of a fair share, and holds its part of the usual crowd at most.
+        warm = []
+        for index in allowed:
+            server = self.servers[index]
+            ramp = self._ramp(server)
+            if ramp < 1 and (self.now < server.next_cold or len(server.open) >= max(1.0, 3 * ramp)):
+                continue
+            warm.append(index)
+        fit = [index for index in warm if self._fit(self.servers[index])]
+        # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used.
+        if 2 * len(fit) < len(allowed):
+            fit = warm
+        best, least = None, 0.0
+        for index in fit:
+            server = self.servers[index]
+            expected = self._expected(server, row)
+            rank = expected * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
+            if best is None or rank < least:
+                best, least, latency = index, rank, expected
+        if best is None or latency > rpc.soft - self.now and not rpc.out:
+            return None     # what can't make its soft deadline is shed
+        return best
--- /dev/null
+++ b/oakfork/interface.py
@@ -0,0 +1,215 @@
+"""What goes into the decision module and what comes out of it: types only, no decision.
+
+Times are whole tenths of a millisecond on the gateway's own clock. RPCs and servers are small indices given
+out at the door; an RPC's index is used again once it is answered and all its call-outs have ended.
+"""
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
+
+SECOND = 10_000  # tenths of a millisecond
+
+
+class Repeat(IntEnum):
+    """Whether a method may run again."""
+    IDEMPOTENT = 0
+    DEDUPLICATED = 1
+    NON_IDEMPOTENT = 2
+
+
+class Status(IntEnum):
+    """How a call-out ended."""
+    OK = 0
+    MOOT = 249
+    CANCELLED = 250
+    RESET = 251
+    CONNECT_FAILED = 252
+    TIMED_OUT = 253
+    FULL = 254
+    ERROR = 255
+
+
+NEVER_RAN = frozenset((Status.MOOT, Status.CONNECT_FAILED, Status.FULL))
+
+
+class State(IntEnum):
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Method:
+    soft_deadline: int
+    deadline: int
+    repeat: Repeat
+    group: str          # "all", "zone" or "cell": the servers that drop a repeat
+    remembered: int     # for how long they drop it
+    utility: float
+    late_utility: float
+    streamed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    rate: float         # units a second; 0: no such quota
+    burst: float
+    concurrency: int    # call-outs out at once; 0: no such quota
+    ceiling_rate: float  # units a second; 0: no ceiling
+    ceiling_burst: float
+    ceiling_slack: float
+    price: float
+    beyond_utility: float
+    beyond_cost: float
+
+
+@dataclass(frozen=True, slots=True)
+class Birth:
+    """All that a gateway is told when it starts."""
+    seed: int
+    index: int
+    gateways: int
+    zone: int
+    methods: tuple[Method, ...]
+    plans: tuple[Plan, ...]
+    mail_per_s: float
+    most_units: float
+    settles: bool
+    peers: bool
+    cancel: bool
+    second_copies: bool
+    retry_after: bool
+    probing: bool
+    max_call_outs: int
+    asks_list: bool     # changes of the server list come only after a subscription
+    list_patience: int
+    report_names: tuple[str, ...]
+    report_how: str
+    drain_grace: int
+    cold_share: float
+    cold_time: int
+    fall_multiple: float
+    fall_time: int
+
+
+# Events
+
+class ServerEntry(NamedTuple):
+    server: int
+    true_id: int        # the same at every gateway
+    zone: int
+    cell: int
+    state: State
+    up_since: int       # 0: long ago
+    weight: float
+
+
+class ServerList(NamedTuple):
+    complete: bool
+    failed: bool
+    entries: tuple[ServerEntry, ...]
+
+
+class Arrival(NamedTuple):
+    rpc: int
+    customer: int       # the true id
+    method: int
+    plan: int
+    units: float
+    first_gateway: int
+    spread: int
+    time_left: int
+    repeated: bool
+
+
+class StreamStarted(NamedTuple):
+    rpc: int
+    call_out: int
+
+
+class CallOutEnded(NamedTuple):
+    rpc: int
+    call_out: int
+    server: int
+    elapsed: int
+    status: Status
+    final: bool
+    true_units: float
+    load: tuple[float, ...]
+
+
+class ClientGone(NamedTuple):
+    rpc: int
+
+
+class TimeCame(NamedTuple):
+    token: int
+
+
+class ProbeEnded(NamedTuple):
+    server: int
+    status: Status
+    elapsed: int
+    load: tuple[float, ...]
+
+
+class PeerFrame(NamedTuple):
+    sender: int
+    data: bytes
+
+
+class CounterAnswered(NamedTuple):
+    status: Status
+    total: float
+    name: int
+
+
+Event = (ServerList | Arrival | StreamStarted | CallOutEnded | ClientGone | TimeCame | ProbeEnded | PeerFrame
+         | CounterAnswered)
+
+
+# Commands
+
+class Send(NamedTuple):
+    rpc: int
+    server: int
+    until: int          # on the clock; 0: until the client gives up
+
+
+class PushBack(NamedTuple):
+    rpc: int
+    retry_after: int
+
+
+class Abort(NamedTuple):
+    rpc: int
+
+
+class Cancel(NamedTuple):
+    rpc: int
+    call_out: int
+
+
+class Wake(NamedTuple):
+    token: int
+    after: int
+
+
+class Probe(NamedTuple):
+    server: int
+
+
+class Tell(NamedTuple):
+    peer: int
+    data: bytes
+
+
+class Subscribe(NamedTuple):
+    pass
+
+
+class Note(NamedTuple):
+    text: str
+
+
+Command = Send | PushBack | Abort | Cancel | Wake | Probe | Tell | Subscribe | Note
--- /dev/null
+++ b/oakfork/peerwire.py
@@ -0,0 +1,94 @@
+"""Packing of the messages between gateways: items coalesced into frames of at most 256 bytes.
+
+A frame: version, the sender's life, the life it believes the receiver to be in (0: unknown), the frame's
+number, the sender's clock in milliseconds; then items of a fixed length a kind. No decision is taken here.
+"""
+import struct
+from typing import NamedTuple
+
+LARGEST = 256
+VERSION = 1
+HEADER = struct.Struct("<BHHHH")
+UNIT = 16           # units travel in sixteenths
+PAUSE = 100         # waits travel in hundredths of a second (of tenths of a millisecond)
+
+
+class Ask(NamedTuple):
+    serial: int
+    customer: int
+    plan: int
+    units: float
+
+
+class Answer(NamedTuple):
+    serial: int
+    wait: int       # 0: yes; otherwise the time until the deficit is filled
+
+
+class Return(NamedTuple):
+    customer: int
+    plan: int
+    units: float    # below 0 where the true units were more
+
+
+class Release(NamedTuple):
+    serial: int
+    customer: int
+
+
+class Frame(NamedTuple):
+    life: int
+    to_life: int
+    number: int
+    clock: int
+    items: tuple
+
+
+Item = Ask | Answer | Return | Release
+ASK, ANSWER, RETURN, RELEASE = 1, 2, 3, 4
+LAYOUT = {ASK: struct.Struct("<HIBHH"), ANSWER: struct.Struct("<HH"), RETURN: struct.Struct("<IBHh"),
+          RELEASE: struct.Struct("<HIB")}
+
+
+def pack_item(item: Item) -> bytes:
+    if isinstance(item, Ask):
+        kind, values = ASK, (item.serial, item.customer & 0xFFFFFFFF, item.customer >> 32, item.plan,
+                             min(0xFFFF, max(0, round(item.units * UNIT))))
+    elif isinstance(item, Answer):
+        kind, values = ANSWER, (item.serial, min(0xFFFF, -(-item.wait // PAUSE)))
+    elif isinstance(item, Return):
+        kind, values = RETURN, (item.customer & 0xFFFFFFFF, item.customer >> 32, item.plan,
+                                min(0x7FFF, max(-0x7FFF, round(item.units * UNIT))))
+    else:
+        kind, values = RELEASE, (item.serial, item.customer & 0xFFFFFFFF, item.customer >> 32)
+    return bytes((kind,)) + LAYOUT[kind].pack(*values)
+
+
+def pack(life: int, to_life: int, number: int, clock: int, packed: list[bytes]) -> bytes:
+    return HEADER.pack(VERSION, life, to_life, number, clock) + b"".join(packed)
+
+
+def unpack(data: bytes) -> Frame | None:
+    """The frame, or None where it is truncated, too long or not ours."""
+    if not HEADER.size <= len(data) <= LARGEST or data[0] != VERSION:
+        return None
+    _, life, to_life, number, clock = HEADER.unpack_from(data)
+    items: list[Item] = []
+    at = HEADER.size
+    while at < len(data):
+        layout = LAYOUT.get(data[at])
+        if layout is None or at + 1 + layout.size > len(data):
+            return None
+        kind, values = data[at], layout.unpack_from(data, at + 1)
+        at += 1 + layout.size
+        if kind == ASK:
+            serial, low, high, plan, units = values
+            items.append(Ask(serial, low | high << 32, plan, units / UNIT))
+        elif kind == ANSWER:
+            items.append(Answer(values[0], values[1] * PAUSE))
+        elif kind == RETURN:
+            low, high, plan, units = values
+            items.append(Return(low | high << 32, plan, units / UNIT))
+        else:
+            items.append(Release(values[0], values[1] | values[2] << 32))
+    return Frame(life, to_life, number, clock, tuple(items))
--- /dev/null
+++ b/oakfork/wirehost/codec.py
@@ -0,0 +1,160 @@
+"""The simulator's wire in bytes. The only file that knows its names and codes; no decision is taken here."""
+import json
+import struct
+from typing import BinaryIO, Iterator, NamedTuple
+
+from oakfork.interface import SECOND, Birth, Method, Plan, Repeat
+
+BATCH_HEADER = struct.Struct("<IdI")
+REPLY_HEADER = struct.Struct("<I")
+ENTRY = struct.Struct("<BH6sHBdf")
+U16, U32, U64, F64 = (struct.Struct("<" + code) for code in "HIQd")
+
+DISCOVERY, CONTEXT, ACCEPT, LAUNCH, COUNTER_REPLY, EXPIRED, ENDED = 10, 20, 30, 40, 50, 60, 70
+EXIT, CHECK_RESULT, ESTABLISHED, MESSAGE, MANIFEST, TIMEOUT_FIRED = 80, 90, 100, 110, 120, 130
+EVERY_PEER = 0xFFFF
+
+# The fixed part of each event; what follows it is a counted field, whose count is the last value.
+EVENTS = {
+    DISCOVERY: ("Discovery", struct.Struct("<BII")), CONTEXT: ("Context", U32),
+    ACCEPT: ("Accept", struct.Struct("<QQBfdfHHf")), LAUNCH: ("Launch", struct.Struct("<QI")),
+    COUNTER_REPLY: ("CounterReply", struct.Struct("<BfQd")), EXPIRED: ("Expired", U64),
+    ENDED: ("Ended", struct.Struct("<QH6sdHBBHB")), EXIT: ("Exit", struct.Struct("<")),
+    CHECK_RESULT: ("CheckResult", struct.Struct("<6sBdB")), ESTABLISHED: ("Established", struct.Struct("<Qd6sH")),
+    MESSAGE: ("Message", struct.Struct("<HH")), MANIFEST: ("Manifest", struct.Struct("<II")),
+    TIMEOUT_FIRED: ("TimeoutFired", U64),
+}
+COUNTED = {LAUNCH: 1, ENDED: 4, CHECK_RESULT: 4, MESSAGE: 1, MANIFEST: ENTRY.size}  # bytes of one element
+
+
+class WireError(Exception):
+    """The input is not a batch of this wire."""
+
+
+class Record(NamedTuple):
+    code: int
+    values: tuple
+    tail: bytes
+
+
+def tenths(milliseconds: float) -> int:
+    return round(milliseconds * 10)
+
+
+def read_batch(stream: BinaryIO) -> tuple[int, list[Record]] | None:
+    """The next batch: its clock and records; None at the end of input between frames."""
+    header = stream.read(BATCH_HEADER.size)
+    if not header:
+        return None
+    if len(header) < BATCH_HEADER.size:
+        raise WireError(f"truncated header: {len(header)} of {BATCH_HEADER.size} bytes")
+    length, clock, count = BATCH_HEADER.unpack(header)
+    body = stream.read(length)
+    if len(body) < length:
+        raise WireError(f"truncated frame: {len(body)} of {length} bytes")
+    if clock != clock or abs(clock) > 1e15:
+        raise WireError(f"malformed frame: the clock is {clock}")
+    return tenths(clock), list(_records(body, count))
+
+
+def _records(body: bytes, count: int) -> Iterator[Record]:
+    at = 0
+    for number in range(count):
+        if at >= len(body):
+            raise WireError(f"malformed frame: record {number} of {count} missing at byte {at}")
+        code = body[at]
+        if code not in EVENTS:
+            raise WireError(f"malformed frame: unknown event code {code} at byte {at}")
+        name, layout = EVENTS[code]
+        end = at + 1 + layout.size
+        if end > len(body):
+            raise WireError(f"malformed frame: {name} at byte {at} runs past the end")
+        values = layout.unpack_from(body, at + 1)
+        extra = values[-1] * COUNTED[code] if code in COUNTED else 0
+        if end + extra > len(body):
+            raise WireError(f"malformed frame: {name} at byte {at} runs past the end")
+        yield Record(code, values, body[end:end + extra])
+        at = end + extra
+    if at != len(body):
+        raise WireError(f"malformed frame: {len(body) - at} bytes left over at byte {at}")
+
+
+def floats(tail: bytes) -> tuple[float, ...]:
+    return struct.unpack(f"<{len(tail) // 4}f", tail)
+
+
+def read_birth(seed: int, text: bytes) -> Birth:
+    """The settings in the project's words; unknown keys are ignored, missing ones take a harmless value."""
+    try:
+        info = json.loads(text)
+        return _birth(seed, info)
+    except (ValueError, TypeError, AttributeError, KeyError) as error:
+        raise WireError(f"malformed frame: boot-info is not usable: {error!r}") from error
+
+
+def _birth(seed: int, info: dict) -> Birth:
+    limits, rules = info.get("limits", {}), info.get("invariants", {})
+    specifics, stats = info.get("specifics", {}), info.get("stats", {})
+    repeats = {"read_like": Repeat.IDEMPOTENT, "idempotency_key": Repeat.DEDUPLICATED}
+    methods = tuple(
+        Method(soft_deadline=tenths(row["aim-ms"]), deadline=tenths(row["deadline-ms"]),
+               repeat=repeats.get(row.get("effect"), Repeat.NON_IDEMPOTENT), group=row.get("group", "all"),
+               remembered=tenths(row.get("key-ttl-ms", 0)), utility=row.get("value", 1.0),
+               late_utility=row.get("late-worth", 0.0), streamed=bool(row.get("streamed", False)))
+        for row in info.get("classes", ()))
+    plans = tuple(
+        Plan(rate=row.get("refill", 0.0), burst=row.get("peak-units", 0.0), concurrency=int(row.get("concurrency", 0)),
+             ceiling_rate=row.get("never-over-rate", 0.0), ceiling_burst=row.get("ceiling-burst", 0.0),
+             ceiling_slack=row.get("cap-slack", 0.0), price=row.get("value-factor", 1.0),
+             beyond_utility=row.get("over-worth", 0.0), beyond_cost=row.get("beyond-costs", 0.0))
+        for row in info.get("tiers-of-service", ()))
+    return Birth(
+        seed=seed, index=int(info.get("index", 0)), gateways=int(info.get("balancers", 1)),
+        zone=int(info.get("zone", 0)), methods=methods, plans=plans,
+        mail_per_s=specifics.get("mail-per-s", 0.0), most_units=specifics.get("units-top", 1),
+        settles=bool(specifics.get("settles", False)), peers=bool(limits.get("peers", False)),
+        cancel=bool(limits.get("cancel", False)), second_copies=bool(limits.get("parallel-tries", False)),
+        retry_after=bool(limits.get("retry-after", False)), probing=bool(limits.get("probing", False)),
+        max_call_outs=int(limits.get("attempts-cap", 1)), asks_list=info.get("discovery") == "subscribe",
+        list_patience=tenths(rules.get("ask-within-ms", 0)) or SECOND,
+        report_names=tuple(stats.get("names", ())), report_how=stats.get("how", "off"),
+        drain_grace=tenths(rules.get("stop-sending-within-ms", 0)), cold_share=rules.get("cold-share", 1.0),
+        cold_time=tenths(rules.get("cold-ms", 0)), fall_multiple=rules.get("fall-multiple", 1.0),
+        fall_time=tenths(rules.get("fall-ms", 0)))
+
+
+def _action(code: int, layout: str):
+    packer = struct.Struct("<B" + layout)
+    return lambda *values: packer.pack(code, *values)
+
+
+by = _action(20, "I")
+read_list = _action(10, "")
+tail = _action(50, "B")
+check = _action(30, "6s")
+transmit = _action(70, "Q6sd")
+deny = _action(80, "Qd")
+abort = _action(90, "Q")
+retract = _action(120, "QH")
+remind = _action(100, "Qd")
+_signal = _action(140, "HH")
+_note_down = _action(60, "H")
+_bail_out = _action(110, "H")
+
+
+def signal(peer: int, data: bytes) -> bytes:
+    return _signal(peer, len(data)) + data
+
+
+def note_down(text: str) -> bytes:
+    data = text.encode()[:0xFFFF]
+    return _note_down(len(data)) + data
+
+
+def bail_out(text: str) -> bytes:
+    data = text.encode()[:0xFFFF]
+    return _bail_out(len(data)) + data
+
+
+def reply(body: bytes) -> bytes:
+    return REPLY_HEADER.pack(len(body)) + body
