Per-server limits fall with waits past two fifths of the shortest soft deadline

Also covers queues left behind by a stall; could refuse too much where one method is slow by nature.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -44,7 +44,7 @@
 
 class Server:
     """What this gateway has seen of a server. One row a machine ever listed."""
-    __slots__ = ("zone", "cell", "state", "since", "open", "heard", "pace", "crowd", "bad", "limit", "rests",
+    __slots__ = ("zone", "cell", "state", "since", "open", "heard", "pace", "crowd", "bad", "limit", "rests", "trickle",
                  "aside_until", "next_cold")
 
     def __init__(self) -> None:
@@ -58,7 +58,7 @@
         self.pace, self.crowd = 1.0, 1.0    # latency against the method's mean, and own call-outs out meanwhile
         self.bad = 0.0                      # recent share of call-outs that failed
         self.limit = 1e9                    # own call-outs at once; learnt from refusals and from being set aside
-        self.rests, self.aside_until, self.next_cold = 0, 0, 0
+        self.rests, self.trickle, self.aside_until, self.next_cold = 0, 0, 0, 0
 
 
 class Peer:
@@ -104,12 +104,13 @@
 
 class MethodRow:
     """What the module reads of a method, and the mean latency it learns."""
-    __slots__ = ("soft", "repeat", "group", "remembered", "late", "mean", "wait")
+    __slots__ = ("soft", "repeat", "group", "remembered", "late", "mean", "base", "wait")
 
     def __init__(self, method: face.Method) -> None:
         self.soft, self.repeat, self.group = method.soft_deadline, method.repeat, method.group
         self.remembered, self.late = method.remembered, method.late_utility
         self.mean = method.soft_deadline / 8    # a first guess only: replaced within some twenty answers
+        self.base = self.mean / 2               # the latency of its quicker answers, without a queue
         self.wait = method.soft_deadline // 10  # for the owner's answer: the design page's starting value
 
 
@@ -119,6 +120,7 @@
         self.chance = birth.seed & MASK
         self.life = 1 + self._random(65535)     # names this start to the others
         self.methods = [MethodRow(method) for method in birth.methods]
+        self.shortest = min((method.soft_deadline for method in birth.methods), default=SECOND)
         self.longest = max((method.deadline for method in birth.methods), default=SECOND)
         self.servers: dict[int, Server] = {}
         self.rpcs: dict[int, Rpc] = {}          # emptied as RPCs end
@@ -571,33 +573,40 @@
         status, elapsed = event.status, self.now - sent_at
         if status == Status.MOOT:
             return
+        # Guards against a queue that nobody's answers leave in time (overload, a jam after a stall, work done for
+        # clients that have gone): one queue serves all methods, so a wait of over two fifths of the shortest soft
+        # deadline, or an end without an answer after that long, takes a tenth off what we keep out there.
+        if status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
+            if elapsed - 2 * row.base > self.shortest * 2 // 5:
+                server.limit = max(1.0, min(server.limit, len(server.open) + 1) * 0.9)
+            elif status == Status.OK:
+                server.limit = min(server.limit + 0.5, 2.0 * len(server.open) + 8)
         if status == Status.CANCELLED:
             return
         server.heard = self.now
-        if status == Status.FULL:   # not ill: it takes no more than this. Found again by one more an answer
+        if status == Status.FULL:   # not ill, but it takes no more for now
             server.limit = max(1.0, min(server.limit, len(server.open)) * 0.8)
+            server.aside_until = max(server.aside_until, self.now + int(row.base))
             return
         if status == Status.OK:
             crowd = len(server.open) + 1
             # An answer tells the method's usual latency and how this server compares, over some ten answers.
             row.mean += (elapsed - row.mean) * 0.05
+            row.base += (elapsed - row.base) * (0.05 if elapsed < row.base else 0.005)
             self.mean_latency += (elapsed - self.mean_latency) * 0.05
             server.pace += (elapsed / max(1.0, row.mean) - server.pace) * 0.1
             server.crowd += (crowd - server.crowd) * 0.1
             server.bad *= 0.8
-            if server.rests and server.limit < 16:      # a server set aside gets a trickle that doubles
-                server.limit *= 2
-            elif server.rests:
-                server.rests, server.limit = 0, 1e9
-            else:
-                server.limit += 0.2
+            if server.trickle:      # a server set aside gets a trickle that doubles while it goes well
+                server.trickle = server.trickle * 2 if server.trickle < 16 else 0
+                server.rests = server.rests if server.trickle else 0
             return
         # Guards against fast errors, lost connections, dead processes, hanging servers: any failure counts alike.
         # Two in a row, or nearly a third of the recent ones, set the server aside for a second, then two, four, eight.
         server.bad += (1 - server.bad) * 0.2
-        if server.bad > 0.3 and self.now >= server.aside_until or server.rests and server.limit < 16:
+        if self.now >= server.aside_until and (server.bad > 0.3 or server.trickle):
             server.aside_until = self.now + (SECOND << min(3, server.rests))
-            server.rests, server.limit = server.rests + 1, 1.0
+            server.rests, server.trickle = server.rests + 1, 1
 
     def _expected(self, server: Server, row: MethodRow) -> float:
         """The latency to expect: the method's usual one, as this server compares, for its place in the crowd."""
@@ -606,7 +615,7 @@
     def _fit(self, server: Server) -> bool:
         """Not set aside, not silent. Guards against what answers nothing (hangs, cuts, pauses, very slow servers):
         something has been out for four usual latencies and nothing was heard meanwhile."""
-        if self.now < server.aside_until or len(server.open) >= server.limit:
+        if self.now < server.aside_until or len(server.open) >= (server.trickle or server.limit):
             return False
         if server.open:
             first = next(iter(server.open.values()))
@@ -639,7 +648,7 @@
         fit = [index for index in warm if self._fit(self.servers[index])]
         # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used.
         if 2 * len(fit) < len(allowed):
-            fit = warm
+            fit = [index for index in warm if len(self.servers[index].open) < self.servers[index].limit]
         best, least = None, 0.0
         for index in fit:
             server = self.servers[index]
