--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -44,7 +44,7 @@
 
 class Server:
     """What this gateway has seen of a server. One row a machine ever listed."""
-    __slots__ = ("zone", "cell", "state", "since", "open", "heard", "pace", "crowd", "bad", "limit", "rests", "trickle",
+    __slots__ = ("zone", "cell", "state", "since", "open", "heard", "pace", "bad", "limit", "rests", "trickle",
                  "aside_until", "next_cold")
 
     def __init__(self) -> None:
@@ -55,7 +55,7 @@
         self.renew()
 
     def renew(self) -> None:
-        self.pace, self.crowd = 1.0, 1.0    # latency against the method's mean, and own call-outs out meanwhile
+        self.pace = 1.0                     # latency against the method's mean, for the same crowd
         self.bad = 0.0                      # recent share of call-outs that failed
         self.limit = 1e9                    # own call-outs at once; learnt from refusals and from being set aside
         self.rests, self.trickle, self.aside_until, self.next_cold = 0, 0, 0, 0
@@ -134,6 +134,7 @@
         self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
         self.copies = 3.0                       # second copies that may be sent now
         self.ready: list[int] = []
+        self.crowd = 1.0                        # usual own call-outs out at a server, the one sent counted
         self.subscribed = False
         self.last_send, self.send_gap = now, SECOND / 50
         self.commands: list[face.Command] = []
@@ -594,8 +595,8 @@
             row.mean += (elapsed - row.mean) * 0.05
             row.base += (elapsed - row.base) * (0.05 if elapsed < row.base else 0.005)
             self.mean_latency += (elapsed - self.mean_latency) * 0.05
-            server.pace += (elapsed / max(1.0, row.mean) - server.pace) * 0.1
-            server.crowd += (crowd - server.crowd) * 0.1
+            self.crowd += (crowd - self.crowd) * 0.05
+            server.pace += (elapsed / max(1.0, row.mean) * (self.crowd + 1) / (crowd + 1) - server.pace) * 0.1
             server.bad *= 0.8
             if server.trickle:      # a server set aside gets a trickle that doubles while it goes well
                 server.trickle = server.trickle * 2 if server.trickle < 16 else 0
@@ -610,7 +611,7 @@
 
     def _expected(self, server: Server, row: MethodRow) -> float:
         """The latency to expect: the method's usual one, as this server compares, for its place in the crowd."""
-        return row.mean * server.pace * (len(server.open) + 1) / (server.crowd * self._ramp(server))
+        return row.mean * server.pace * (len(server.open) + 2) / ((self.crowd + 1) * self._ramp(server))
 
     def _fit(self, server: Server) -> bool:
         """Not set aside, not silent. Guards against what answers nothing (hangs, cuts, pauses, very slow servers):
