--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -575,10 +575,10 @@
         if status == Status.MOOT:
             return
         # Guards against a queue that nobody's answers leave in time (overload, a jam after a stall, work done for
-        # clients that have gone): one queue serves all methods, so a wait of over two fifths of the shortest soft
+        # clients that have gone): one queue serves all methods, so a wait of over a fifth of the shortest soft
         # deadline, or an end without an answer after that long, takes a fifth off what we keep out there.
         if status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
-            if elapsed - 2 * row.base > self.shortest * 2 // 5:
+            if elapsed - 2 * row.base > self.shortest // 5:
                 server.limit = max(1.0, min(server.limit, len(server.open) + 1) * 0.8)
             elif status == Status.OK:
                 server.limit = min(server.limit + 0.5 / server.limit, 2.0 * len(server.open) + 8)
