Second copies halved and sent only to servers holding less than usual

Cause: in overload the copies themselves kept the queues standing. Covers every self-kept jam; could hurt where most servers hang while all hold much.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -473,9 +473,6 @@
     def _arrive(self, arrival: face.Arrival) -> None:
         rpc = Rpc(arrival, self.methods[arrival.method], self.now)
         self.rpcs[rpc.id] = rpc
-        # A tenth of the RPCs may have a second copy, three in store: enough to step round a few silent servers,
-        # too little to double the load of an overloaded fleet.
-        self.copies = min(3.0, self.copies + 0.1)
         rpc.run = self._answer(rpc)
         self._resume(rpc, None)
 
@@ -502,6 +499,9 @@
         rpc.maybe[number] = (index, self.now)
         rpc.sent += 1
         server.open[rpc.id, number] = self.now
+        # A twentieth of the call-outs may be second copies, three in store: enough to step round a few silent
+        # servers, too little to weigh on an overloaded fleet.
+        self.copies = min(3.0, self.copies + 0.05)
         gap = self.now - self.last_send
         self.send_gap += (min(gap, SECOND) - self.send_gap) * 0.05      # over some twenty sends
         self.last_send = self.now
@@ -657,6 +657,8 @@
             rank = expected * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
             if best is None or rank < least:
                 best, least, latency = index, rank, expected
-        if best is None or latency > rpc.soft - self.now and not rpc.out:
+        if best is None or latency > rpc.soft - self.now:
             return None     # what can't make its soft deadline is shed
+        if rpc.out and len(self.servers[best].open) + 1 > self.crowd:
+            return None     # no second copy where the fleet has no room for it
         return best
