--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -39,6 +39,19 @@
     assert not any(brain.rpcs for brain in world.brains), "an RPC was left in the table"
 
 
+def test_a_ceiling_holds_when_no_gateway_hears_another():
+    for seed in range(4):
+        world = World(seed, 3, 9, trouble=False)
+        world.cut, sent = True, 0
+        for rpc in range(900):      # one customer asks for all it can get through all its gateways
+            world.now += 1000 if rpc % 60 == 0 else 20
+            world.give(rpc % 3, arrival(rpc, 5, 0, 1, 1.0, 0, 3))
+            while world.queue and world.queue[0][0] <= world.now + 20:
+                world.step()
+            sent += any(isinstance(command, face.Send) and command.rpc == rpc for _, _, command in world.log[-9:])
+        assert sent > 12 and 5 in world.stores
+
+
 def test_the_same_events_give_the_same_commands():
     logs = []
     for _ in range(2):
@@ -152,8 +165,11 @@
     for _ in range(3):                                              # doubled: taken once
         brain.handle(20, face.PeerFrame(0, good))
     assert brain.buckets[5].tokens == pytest.approx(PLANS[0].burst - 1)
+    brain.handle(25, face.PeerFrame(0, wire.pack(9, 0, 3, 0, [])))
+    brain.handle(25, face.PeerFrame(0, good))                       # and not after a later one either
+    assert brain.buckets[5].tokens == pytest.approx(PLANS[0].burst - 1, abs=0.01)
     brain.handle(30, face.PeerFrame(0, wire.pack(9, 1, 2, 0, [wire.pack_item(wire.Return(5, 0, 1.0))])))
-    assert brain.buckets[5].tokens == pytest.approx(PLANS[0].burst - 1)     # meant for an earlier life
+    assert brain.buckets[5].tokens == pytest.approx(PLANS[0].burst - 1, abs=0.01)     # meant for an earlier life
 
 
 def test_a_stale_backlog_is_skipped():
@@ -171,9 +187,9 @@
     brain = gateway(servers=3, plans=())
     brain.birth = birth(plans=(face.Plan(0, 0, 0, 0, 0, 0, 1, 0, 0),))
     rpc, chosen = 0, []
-    for now in range(100, 30_000, 300):     # four at a time; server 0 fails for a second, then is well again
+    for now in range(100, 30_000, 300):     # seven at a time; server 0 fails for a second, then is well again
         sends = []
-        for rpc in range(rpc + 1, rpc + 5):
+        for rpc in range(rpc + 1, rpc + 8):
             sends += [c for c in brain.handle(now, arrival(rpc)) if isinstance(c, face.Send)]
         chosen += [(now, send.server) for send in sends]
         for send in sends:
@@ -185,7 +201,7 @@
     assert 1 <= len(first) <= 4
     assert not any(server == 0 and first[-1] < at < first[-1] + 9000 for at, server in chosen)
     back = [at for at, server in chosen if server == 0 and at > SECOND]
-    assert len([at for at in back if at == back[0]]) == 1 and len(back) > 20
+    assert [back.count(at) for at in sorted(set(back))[:2]] == [1, 2] and len(back) > 20
 
 
 def test_a_silent_server_is_passed_over_and_a_common_cause_blames_nobody():
@@ -195,7 +211,7 @@
     chosen = {brain._choose(_asked(brain, later)) for _ in range(6)}
     assert len(chosen) > 1 and 0 not in chosen
     for server in range(1, 4):
-        brain.servers[server].open[99, 0] = 0
+        brain.servers[server].open = {(99, 0): 0}
     assert brain._choose(_asked(brain, later)) is not None
 
 
@@ -237,6 +253,6 @@
 def test_a_cold_server_gets_its_part():
     brain = gateway(servers=4)
     brain.handle(50 * SECOND, face.ServerList(False, False, (entry(0, State.READY, 50 * SECOND),)))
-    for rpc in range(100):
-        brain.handle(50 * SECOND + rpc, arrival(rpc, rpc))
-    assert len(brain.servers[0].open) <= 1
+    for rpc in range(30):
+        brain.handle(50 * SECOND + 300 * rpc, arrival(rpc, rpc))
+    assert len(brain.servers[0].open) == 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,18 +7,18 @@
 from oakfork.interface import NEVER_RAN, SECOND, Method, Plan, Repeat, State, Status
 
 METHODS = (Method(20_000, 60_000, Repeat.IDEMPOTENT, "all", 50_000, 1.0, 0.0, False),
-           Method(8_000, 30_000, Repeat.DEDUPLICATED, "cell", 15_000, 2.0, 0.0, False),
+           Method(8_000, 30_000, Repeat.DEDUPLICATED, "cell", 1_500, 2.0, 0.0, False),
            Method(8_000, 30_000, Repeat.DEDUPLICATED, "all", 15_000, 2.0, 0.2, False),
            Method(8_000, 20_000, Repeat.NON_IDEMPOTENT, "all", 0, 2.0, 0.0, False))
 PLANS = (Plan(4.0, 8.0, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 1.0),
-         Plan(6.0, 9.0, 0, 12.0, 18.0, 2.0, 1.0, 0.0, 1.0),
+         Plan(6.0, 9.0, 0, 7.5, 11.2, 1.0, 1.0, 0.0, 1.0),
          Plan(20.0, 30.0, 3, 0.0, 0.0, 0.0, 1.0, 0.0, 1.0),
          Plan(0.0, 0.0, 0, 5.0, 10.0, 2.0, 1.0, 0.0, 1.0))
 SLACK = 160     # beyond the deadline, within which a final answer is in time
 
 
 def birth(index=0, gateways=1, seed=1, **changes) -> face.Birth:
-    values = dict(seed=seed, index=index, gateways=gateways, zone=0, methods=METHODS, plans=PLANS, mail_per_s=60.0,
+    values = dict(seed=seed, index=index, gateways=gateways, zone=0, methods=METHODS, plans=PLANS, mail_per_s=30.0,
                   most_units=2, settles=False, peers=True, cancel=True, second_copies=True, retry_after=True,
                   probing=True, max_call_outs=4, asks_list=False, list_patience=SECOND, report_names=(),
                   report_how="off", drain_grace=5_000, cold_share=0.2, cold_time=15 * SECOND, fall_multiple=2.0,
@@ -45,6 +45,7 @@
         self.rpcs, self.next_rpc = {}, 0                # (gateway, life, rpc) -> what is known of it
         self.stores = {}                                # customer -> ceiling tokens, updated
         self.frames = {}                                # (gateway, life, peer) -> times
+        self.cut = False                                # no message between gateways arrives
         self.log, self.answers = [], {"ok": 0, "pushed back": 0, "aborted": 0}
         for index in range(gateways):
             self.launch(index)
@@ -104,8 +105,10 @@
                 assert 0 < len(data) <= 256 and peer != index
                 times = self.frames.setdefault((index, self.lives[index], peer), [])
                 times.append(self.now)
-                cap = self.changes.get("mail_per_s", 60.0) / (self.count - 1)
+                cap = self.changes.get("mail_per_s", 30.0) / (self.count - 1)
                 assert sum(self.now - at < SECOND for at in times[-99:]) <= cap + 3, "more mail than a gateway takes in"
+                if self.cut:
+                    return
                 for _ in range(dice.choice((0, 1, 1, 1, 1, 1, 1, 2)) if self.trouble else 1):   # lost, doubled
                     delay = dice.randint(10, 300) if dice.random() < 0.97 or not self.trouble else 9_000    # late
                     self.later(delay, peer, face.PeerFrame(index, data))
@@ -154,7 +157,8 @@
         left = known["dl"] - self.now
         took = left if status == Status.TIMED_OUT else min(left, dice.randint(300, 3_000))
         status = Status.TIMED_OUT if took == left else status
-        self.later(took, index, face.CallOutEnded(rpc, number, server, took, status, False, 0, ()))
+        late = dice.choice((0, 0, 500)) if took == left else 0     # the gateway must keep the deadline by itself
+        self.later(took + late, index, face.CallOutEnded(rpc, number, server, took, status, False, 0, ()))
 
     def play(self, seconds: int, per_second: int) -> None:
         """Random traffic, and with trouble random restarts, drains and fresh starts; then all is answered."""
