--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -43,6 +43,7 @@
     for seed in range(4):
         world = World(seed, 3, 9, trouble=False)
         world.cut, sent = True, 0
+        world.now += 5 * SECOND     # the buckets have filled since the start
         for rpc in range(900):      # one customer asks for all it can get through all its gateways
             world.now += 1000 if rpc % 60 == 0 else 20
             world.give(rpc % 3, arrival(rpc, 5, 0, 1, 1.0, 0, 3))
@@ -256,3 +257,5 @@
     for rpc in range(30):
         brain.handle(50 * SECOND + 300 * rpc, arrival(rpc, rpc))
     assert len(brain.servers[0].open) == 1
+    brain.servers[0].not_before = 0
+    assert not brain._room(brain.servers[0])
