Limits may fall under one call-out a gateway; an idle server is never refused on old answers

Cause, told by sends falling to zero while every server was idle: the shedding test trusted a mean that no answer could mend. With 8 to 11 gateways one call-out each was a queue by itself. Also covers recovery after any fleet-wide stall; could send a few late call-outs to a dead fleet.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -501,6 +501,9 @@
         self.send_gap += (min(gap, SECOND) - self.send_gap) * 0.05      # over some twenty sends
         self.last_send = self.now
         ramp = self._ramp(server)
+        # With many gateways one call-out of each is already a queue: a limit under one is a share of the time.
+        if server.limit < 1:
+            server.not_before = self.now + int(self.mean_latency / server.limit)
         if ramp < 1:
             server.not_before = self.now + int(self.send_gap * max(1, len(self.ready)) / ramp)
         return number
@@ -573,14 +576,15 @@
         # wait of over a fifth of the shortest soft deadline takes a fifth off what we keep out there.
         if status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
             if elapsed - 2 * row.base > self.shortest // 5:
-                server.limit = max(1.0, min(server.limit, len(server.open) + 1) * 0.8)
+                server.limit = max(0.1, min(server.limit, len(server.open) + 1) * 0.8)
             elif status == Status.OK:
-                server.limit = min(server.limit + 0.5 / server.limit, 2.0 * len(server.open) + 8)
+                more = min(0.5 / server.limit, server.limit / 2)
+                server.limit = min(server.limit + more, 2.0 * len(server.open) + 8)
         if status == Status.CANCELLED:
             return
         server.heard = self.now
         if status == Status.FULL:   # not ill, but it takes no more for about the time of one answer
-            server.limit = max(1.0, min(server.limit, len(server.open)) * 0.8)
+            server.limit = max(0.1, min(server.limit, len(server.open) + 1) * 0.8)
             server.not_before = self.now + int(row.base)
             return
         if status == Status.OK:
@@ -610,7 +614,7 @@
     def _room(self, server: Server) -> bool:
         """Under its learnt limit; a cold one holds, and is sent, only its part of what the others are."""
         ramp = self._ramp(server)
-        limit = server.limit if ramp == 1 else min(server.limit, max(1.0, 3 * ramp))
+        limit = max(1.0, server.limit if ramp == 1 else min(server.limit, 3 * ramp))
         return self.now >= server.not_before and len(server.open) < limit
 
     def _fit(self, server: Server) -> bool:
@@ -649,8 +653,10 @@
             rank = expected * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
             if best is None or rank < least:
                 best, least, latency = index, rank, expected
-        if best is None or latency > rpc.soft - self.now:
-            return None     # what can't make its soft deadline is shed
+        # What can't make its soft deadline is shed; but not on the word of old answers alone, where we have
+        # nothing out: a fleet once slow would otherwise be refused for good.
+        if best is None or latency > rpc.soft - self.now and self.servers[best].open:
+            return None
         if rpc.out and len(self.servers[best].open) + 1 > self.crowd:
             return None     # no second copy where the fleet has no room for it
         return best
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -259,3 +259,19 @@
     assert len(brain.servers[0].open) == 1
     brain.servers[0].not_before = 0
     assert not brain._room(brain.servers[0])
+
+
+def test_an_idle_fleet_is_not_refused_on_old_answers():
+    brain = gateway(servers=2)
+    brain.methods[0].mean = 10 * SECOND     # all was slow once, and nothing has been out since
+    assert face.Send in kinds(brain.handle(SECOND, arrival(1)))
+
+
+def test_a_limit_under_one_is_a_share_of_the_time():
+    brain = gateway(servers=1)
+    brain.servers[0].limit, brain.mean_latency = 0.5, 1000.0
+    brain.handle(10_000, arrival(1))
+    brain.handle(10_500, ended(1, 0, 0, Status.ERROR, True))
+    brain.servers[0].aside_until = 0
+    assert kinds(brain.handle(11_000, arrival(2))) == [face.PushBack]
+    assert face.Send in kinds(brain.handle(12_001, arrival(3)))
