The wait for the owner follows twice the usual reply time, up to a third of the soft deadline

Cause: with 8 to 11 gateways each link may carry 5 to 9 frames a second, so answers came after the wait and the slice judged. Could hurt methods with short soft deadlines where links are slow.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -74,7 +74,7 @@
     armed: bool = False
     missed: int = 0         # asks in a row without a reply
     next_try: int = 0
-    asks: dict[int, "Rpc"] = field(default_factory=dict)    # emptied by the answer, or by _forget_ask
+    asks: dict[int, tuple["Rpc", int]] = field(default_factory=dict)    # emptied by answers and _forget_ask
 
 
 class Hold(NamedTuple):
@@ -138,6 +138,7 @@
         self.alarm_no = self.serial = 0
         self.woken: int | None = None
         self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
+        self.reply = 0.0                        # usual time from an ask to its answer
         self.copies = 3.0                       # second copies that may be sent now
         self.ready: list[int] = []
         self.crowd = 1.0                        # usual own call-outs out at a server, the one sent counted
@@ -271,12 +272,15 @@
             return until - self.now
         peer = self.peers.get(owner)
         if peer and self.birth.peers and self.birth.mail_per_s and self._worth_asking(peer):
-            peer.asks[serial] = rpc
+            peer.asks[serial] = rpc, self.now
             rpc.asking = serial
             self._post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
             self._at(self.now + 4 * SECOND, self._forget_ask, peer, serial)    # far past any useful answer
-            # The design page's starting value of the wait: a tenth of the soft deadline.
-            answer = yield Wait(min(rpc.dl, self.now + rpc.row.soft // 10))
+            # The design page's starting value of the wait is a tenth of the soft deadline. Exception: with
+            # many gateways frames are paced thin and answers take longer; then it is twice the usual reply's
+            # time, up to a third, since an RPC judged by the slice costs more than that wait.
+            wait = max(rpc.row.soft // 10, min(int(2 * self.reply), rpc.row.soft // 3))
+            answer = yield Wait(min(rpc.dl, self.now + wait))
             rpc.asking = -1
             if isinstance(answer, wire.Answer):
                 if not answer.wait:
@@ -407,9 +411,10 @@
                 self.buckets[item.customer].leases.pop((event.sender, frame.life, item.serial), None)
 
     def _answered(self, sender: int, peer: Peer, answer: wire.Answer) -> None:
-        rpc = peer.asks.pop(answer.serial, None)
+        rpc, asked_at = peer.asks.pop(answer.serial, (None, 0))
         if rpc is None:
             return
+        self.reply += (self.now - asked_at - self.reply) * 0.1
         if rpc.asking == answer.serial and not rpc.over:
             self._resume(rpc, answer)
         elif not answer.wait:       # a late yes: its units go back
@@ -501,7 +506,7 @@
         self.send_gap += (min(gap, SECOND) - self.send_gap) * 0.05      # over some twenty sends
         self.last_send = self.now
         ramp = self._ramp(server)
-        # With many gateways one call-out of each is already a queue: a limit under one is a share of the time.
+        # With many gateways one call-out of each is a queue already: a limit under one is a share of the time.
         if server.limit < 1:
             server.not_before = self.now + int(self.mean_latency / server.limit)
         if ramp < 1:
