A slice holds one request at least, and what it spends is told to the owner

Cause, told by half of the cheapest plan's tries being refused with room while servers were idle: burst over eleven gateways is under one request, so the slice never said yes; and what it did grant was granted again by the owner. Also covers lossy links and silent owners; could refuse a little early where a debit and a late yes cross.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -194,19 +194,22 @@
     def _shares(self, plan: face.Plan, gateways: int) -> tuple[Shares, Shares]:
         """The owner's bucket and a gateway's local slice.
 
-        Exception, only under a ceiling: the slices share what it leaves above the quota, if that is less than
-        the quota, so that the owner and every slice together stay under it however they are split."""
+        Exception, where the even share is less than one request: the slice holds one, or it never says yes.
+        Exception, only under a ceiling: the slices (the owner needs none) share what it leaves over the quota,
+        if that is less, so that the owner and every slice together stay under it however they are split."""
         rate, burst = plan.rate, plan.burst
-        spare_rate, spare_burst = rate, burst
         if plan.ceiling_rate:
             if not rate:    # a ceiling alone: half for the owner, half for the slices
                 rate, burst = plan.ceiling_rate / 2, plan.ceiling_burst / 2
             rate, burst = min(rate, plan.ceiling_rate), min(burst, plan.ceiling_burst)
-            spare_rate = min(rate, plan.ceiling_rate - rate)
-            spare_burst = min(burst, plan.ceiling_burst - burst)
+            others = max(1, gateways - 1)
+            local_rate = min(rate / gateways, (plan.ceiling_rate - rate) / others)
+            least = max(burst / gateways, self.birth.most_units)
+            local_burst = min(least, (plan.ceiling_burst - burst) / others)
+        else:
+            local_rate, local_burst = rate / gateways, max(burst / gateways, self.birth.most_units)
         whole = Shares(rate / SECOND, burst, plan.concurrency)
-        part = -(-plan.concurrency // gateways)
-        return whole, Shares(spare_rate / SECOND / gateways, spare_burst / gateways, part)
+        return whole, Shares(local_rate / SECOND, local_burst, -(-plan.concurrency // gateways))
 
     def _take(self, table: dict, ask: face.Arrival | wire.Ask, shares: Shares, holder: tuple) -> int:
         """One serial refill-and-take: 0 for yes, otherwise the time until it could be. Missing reads as full.
@@ -263,15 +266,15 @@
             return 0
         owner, gateways = self._owner(ask)
         whole, local = self._shares(plan, gateways)
-        self.serial = serial = (self.serial + 1) & 0xFFFF
         if owner == self.birth.index:
-            return self._take_here(rpc, self.buckets, whole, serial)
+            return self._take_here(rpc, self.buckets, whole, owner, self.life)
         # Exception: a refusal is remembered until its retry-after: a client's retries cost no fresh ask.
         until, units = self.refusals.get(ask.customer, (0, 0.0))
         if until > self.now and ask.units >= units:
             return until - self.now
         peer = self.peers.get(owner)
         if peer and self.birth.peers and self.birth.mail_per_s and self._worth_asking(peer):
+            self.serial = serial = (self.serial + 1) & 0xFFFF
             peer.asks[serial] = rpc, self.now
             rpc.asking = serial
             self._post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
@@ -290,12 +293,18 @@
                 self._at(self.now + answer.wait, self._forget_refusal, ask.customer)
                 return answer.wait
             peer.missed += 1
-        return self._take_here(rpc, self.slices, local, serial)
+        wait = self._take_here(rpc, self.slices, local, owner, peer.life if peer else 0)
+        if not wait and peer and peer.life:
+            # Exception: what the slice spends is told to the owner, so that it does not grant the same again
+            # beside it; a late yes still gives its own units back.
+            self._post(owner, wire.Return(ask.customer, ask.plan, -ask.units))
+        return wait
 
-    def _take_here(self, rpc: Rpc, table: dict, shares: Shares, serial: int) -> int:
+    def _take_here(self, rpc: Rpc, table: dict, shares: Shares, owner: int, life: int) -> int:
+        self.serial = serial = (self.serial + 1) & 0xFFFF
         wait = self._take(table, rpc.ask, shares, (self.birth.index, self.life, serial))
         if not wait:
-            rpc.hold = Hold(table, shares, self.birth.index, self.life, serial)
+            rpc.hold = Hold(table, shares, owner, life, serial)
         return wait
 
     def _worth_asking(self, peer: Peer) -> bool:
@@ -322,7 +331,7 @@
             return
         if hold.table is not None:
             self._give(hold.table, ask.customer, units, hold.shares.capacity)
-        elif hold.life == self.peers[hold.owner].life:
+        if hold.owner != self.birth.index and hold.life and hold.life == self.peers[hold.owner].life:
             self._post(hold.owner, wire.Return(ask.customer, ask.plan, units))
 
     def _release(self, rpc: Rpc) -> None:
@@ -330,11 +339,10 @@
         hold, customer = rpc.hold, rpc.ask.customer
         if hold is None or not hold.shares.concurrency:
             return
-        if hold.table is None:
-            if hold.life == self.peers[hold.owner].life:
-                self._post(hold.owner, wire.Release(hold.serial, customer))
-        elif customer in hold.table:
-            hold.table[customer].leases.pop((hold.owner, hold.life, hold.serial), None)
+        if hold.table is not None and customer in hold.table:
+            hold.table[customer].leases.pop((self.birth.index, self.life, hold.serial), None)
+        elif hold.table is None and hold.life == self.peers[hold.owner].life:
+            self._post(hold.owner, wire.Release(hold.serial, customer))
 
     # ---- messages: coalesced per peer, paced to what a gateway takes in
 
@@ -405,8 +413,11 @@
                 self._answered(event.sender, peer, item)
             elif isinstance(item, wire.Return):
                 if item.plan < len(self.birth.plans):
-                    most = self._shares(self.birth.plans[item.plan], 1)[0].capacity
-                    self._give(self.buckets, item.customer, item.units, most)
+                    most = self._shares(self.birth.plans[item.plan], 1)[0]
+                    if item.units < 0:      # starts the bucket if it is missing
+                        self._take(self.buckets, wire.Ask(0, item.customer, item.plan, 0.0), most._replace(
+                            concurrency=0), ())
+                    self._give(self.buckets, item.customer, item.units, most.capacity)
             elif item.customer in self.buckets:
                 self.buckets[item.customer].leases.pop((event.sender, frame.life, item.serial), None)
 
@@ -506,7 +517,7 @@
         self.send_gap += (min(gap, SECOND) - self.send_gap) * 0.05      # over some twenty sends
         self.last_send = self.now
         ramp = self._ramp(server)
-        # With many gateways one call-out of each is a queue already: a limit under one is a share of the time.
+        # With many gateways one call-out of each is a queue: a limit under one is a share of the time.
         if server.limit < 1:
             server.not_before = self.now + int(self.mean_latency / server.limit)
         if ramp < 1:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -275,3 +275,17 @@
     brain.servers[0].aside_until = 0
     assert kinds(brain.handle(11_000, arrival(2))) == [face.PushBack]
     assert face.Send in kinds(brain.handle(12_001, arrival(3)))
+
+
+def test_a_slice_holds_one_request_and_tells_the_owner_what_it_spends():
+    customer = owned_by(1, 4)
+    small = face.Plan(0.5, 2.0, 0, 0.0, 0.0, 0.0, 1.0, 0.0, 1.0)    # a quarter of the burst is under one request
+    brain = gateway(0, 4, plans=(small,), most_units=1)
+    brain.handle(0, face.PeerFrame(1, wire.pack(77, 0, 1, 0, [])))
+    brain.handle(0, arrival(1, customer, spread=4))
+    brain.handle(1500, face.TimeCame(0))
+    assert face.Send in kinds(brain.handle(METHODS[0].soft_deadline // 10, face.TimeCame(0)))
+    assert wire.Return(customer, 0, -1.0) in frame_of(brain.handle(6000, face.TimeCame(0))).items
+    owner = gateway(1, 4)
+    owner.handle(10, face.PeerFrame(0, wire.pack(9, owner.life, 1, 0, [wire.pack_item(wire.Return(5, 0, -1.0))])))
+    assert owner.buckets[5].tokens == pytest.approx(PLANS[0].burst - 1)
