Latency without a queue is the lowest mean seen

Cause: the quantile used as reference rose with a standing queue of 1.2 s, until that looked usual and limits grew again. Covers any slow rise of latency; could refuse too early where work grows tenfold for good.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -95,7 +95,7 @@
     remembered: int
     late: float
     mean: float     # usual latency
-    base: float     # latency of its quicker answers, without a queue
+    base: float     # usual latency without a queue
 
 
 @dataclass(slots=True)
@@ -124,7 +124,7 @@
         self.life = 1 + self._random(65535)     # names this start to the others
         # An eighth of the soft deadline is a first guess only: replaced within some twenty answers.
         self.methods = [MethodRow(method.soft_deadline, method.repeat, method.group, method.remembered,
-                                  method.late_utility, method.soft_deadline / 8, method.soft_deadline / 16)
+                                  method.late_utility, method.soft_deadline / 8, method.soft_deadline / 8)
                         for method in birth.methods]
         self.shortest = min((method.soft_deadline for method in birth.methods), default=SECOND)
         self.longest = max((method.deadline for method in birth.methods), default=SECOND)
@@ -607,7 +607,9 @@
             crowd = len(server.open) + 1
             # An answer tells the method's usual latency and how this server compares, over some ten answers.
             row.mean += (elapsed - row.mean) * 0.05
-            row.base += (elapsed - row.base) * (0.05 if elapsed < row.base else 0.005)
+            # The lowest that the mean has been; it follows a real change slowly, by half in some 1,600 answers,
+            # so that a standing queue does not come to look usual.
+            row.base = min(row.mean, row.base * 1.00025)
             self.mean_latency += (elapsed - self.mean_latency) * 0.05
             self.crowd += (crowd - self.crowd) * 0.05
             server.pace += (elapsed / max(1.0, row.mean) * (self.crowd + 1) / (crowd + 1) - server.pace) * 0.1
