--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -66,15 +66,14 @@
     credited: int
     life: int = 0           # 0 until it has been heard
     sent: int = 0           # number of the last frame to it
-    latest: int = 0         # number of the last frame from it, and which of the 64 before it came
-    seen: int = 0
+    window: wire.Window = field(default_factory=wire.Window)
     skew: int | None = None     # the least difference of clocks seen: a frame without delay
     queue: deque[bytes] = field(default_factory=deque)      # emptied by _flush
     credit: float = 1.0     # frames that may go now
     armed: bool = False
     missed: int = 0         # asks in a row without a reply
     next_try: int = 0
-    asks: dict[int, tuple["Rpc", int]] = field(default_factory=dict)    # emptied by answers and _forget_ask
+    asks: dict[int, tuple["Rpc", int]] = field(default_factory=dict)    # emptied by answers, or after 4 s
 
 
 class Hold(NamedTuple):
@@ -211,8 +210,8 @@
         whole = Shares(rate / SECOND, burst, plan.concurrency)
         return whole, Shares(local_rate / SECOND, local_burst, -(-plan.concurrency // gateways))
 
-    def _take(self, table: dict, ask: face.Arrival | wire.Ask, shares: Shares, holder: tuple) -> int:
-        """One serial refill-and-take: 0 for yes, otherwise the time until it could be. Missing reads as full.
+    def _bucket(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> Bucket:
+        """The customer's bucket, refilled. Missing reads as full.
 
         Exception, only under a ceiling: one started after us knows nothing of what was granted before, and
         the ceiling ignores restarts; so there it reads as filled since our start, and empty at it."""
@@ -222,11 +221,16 @@
             if self.birth.plans[ask.plan].ceiling_rate:
                 tokens = min(tokens, (self.now - self.born) * shares.rate)
             bucket = table[ask.customer] = Bucket(tokens, self.now)
-            self._at(self.now + self._fills(shares), self._check, table, ask.customer, shares)
-        self._refill(bucket, shares)
+            self._at(self.now + self._fills(shares), self._check, table, ask, shares)
+        bucket.tokens = min(shares.capacity, bucket.tokens + (self.now - bucket.updated) * shares.rate)
+        bucket.updated = self.now
+        return bucket
+
+    def _take(self, table: dict, ask: face.Arrival | wire.Ask, shares: Shares, holder: tuple) -> int:
+        """One serial refill-and-take: 0 for yes, otherwise the time until it could be."""
+        bucket = self._bucket(table, ask, shares)
         # Quota by open call-outs: counted here, released at the end; what is never released expires.
-        for held in [held for held, lost in bucket.leases.items() if lost <= self.now]:
-            del bucket.leases[held]
+        bucket.leases = {held: lost for held, lost in bucket.leases.items() if lost > self.now}
         if shares.concurrency and len(bucket.leases) >= shares.concurrency:
             return max(1, int(self.mean_latency))
         if shares.rate and bucket.tokens < ask.units:
@@ -236,27 +240,21 @@
             bucket.leases[holder] = self.now + self.longest
         return 0
 
-    def _refill(self, bucket: Bucket, shares: Shares) -> None:
-        bucket.tokens = min(shares.capacity, bucket.tokens + (self.now - bucket.updated) * shares.rate)
-        bucket.updated = self.now
-
     def _fills(self, shares: Shares) -> int:
         return int(shares.capacity / shares.rate) + 1 if shares.rate else self.longest
 
-    def _check(self, table: dict[int, Bucket], customer: int, shares: Shares) -> None:
+    def _check(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> None:
         """Drops a full bucket; looks again in burst / rate otherwise."""
-        bucket = table[customer]
-        self._refill(bucket, shares)
+        bucket = self._bucket(table, ask, shares)
         if bucket.tokens >= shares.capacity and all(lost <= self.now for lost in bucket.leases.values()):
-            del table[customer]
+            del table[ask.customer]
         else:
-            self._at(self.now + self._fills(shares), self._check, table, customer, shares)
+            self._at(self.now + self._fills(shares), self._check, table, ask, shares)
 
-    def _give(self, table: dict[int, Bucket], customer: int, units: float, most: float) -> None:
-        """Units come back (or, settled, go: a bucket may fall below nothing)."""
-        bucket = table.get(customer)
-        if bucket is not None:
-            bucket.tokens = min(most, bucket.tokens + units)
+    def _give(self, table: dict, ask: face.Arrival | wire.Return, shares: Shares, units: float) -> None:
+        """Units come back (or, settled or spent by a slice, go: a bucket may fall below nothing)."""
+        bucket = self._bucket(table, ask, shares)
+        bucket.tokens = min(shares.capacity, bucket.tokens + units)
 
     def _admit(self, rpc: Rpc) -> Generator[Wait, object, int]:
         """0 if the RPC is inside its customer's quota, otherwise the time after which it could be."""
@@ -278,7 +276,7 @@
             peer.asks[serial] = rpc, self.now
             rpc.asking = serial
             self._post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
-            self._at(self.now + 4 * SECOND, self._forget_ask, peer, serial)    # far past any useful answer
+            self._at(self.now + 4 * SECOND, peer.asks.pop, serial, None)    # far past any useful answer
             # The design page's starting value of the wait is a tenth of the soft deadline. Exception: with
             # many gateways frames are paced thin and answers take longer; then it is twice the usual reply's
             # time, up to a third, since an RPC judged by the slice costs more than that wait.
@@ -317,9 +315,6 @@
             return True
         return not silent
 
-    def _forget_ask(self, peer: Peer, serial: int) -> None:
-        peer.asks.pop(serial, None)
-
     def _forget_refusal(self, customer: int) -> None:
         if customer in self.refusals and self.refusals[customer][0] <= self.now:
             del self.refusals[customer]
@@ -330,7 +325,7 @@
         if hold is None or not units:
             return
         if hold.table is not None:
-            self._give(hold.table, ask.customer, units, hold.shares.capacity)
+            self._give(hold.table, ask, hold.shares, units)
         if hold.owner != self.birth.index and hold.life and hold.life == self.peers[hold.owner].life:
             self._post(hold.owner, wire.Return(ask.customer, ask.plan, units))
 
@@ -365,13 +360,10 @@
             return
         if peer.credit >= 1:
             peer.credit -= 1
-            items, size = [], wire.HEADER.size
-            while peer.queue and size + len(peer.queue[0]) <= wire.LARGEST:
-                size += len(peer.queue[0])
-                items.append(peer.queue.popleft())
             peer.sent = (peer.sent + 1) & 0xFFFF
             clock = self.now // 10 & 0xFFFF
-            self.commands.append(face.Tell(to, wire.pack(self.life, peer.life, peer.sent, clock, items)))
+            data = wire.pack(self.life, peer.life, peer.sent, clock, wire.fill(peer.queue))
+            self.commands.append(face.Tell(to, data))
         if peer.queue:
             peer.armed = True
             self._at(self.now + int((1 - peer.credit) / rate), self._flush, to)
@@ -382,16 +374,12 @@
             return
         if frame.life != peer.life:     # it has restarted: what it held or was asked is void
             if peer.life:
-                self._restarted(event.sender, peer)
-            peer.life, peer.latest, peer.seen, peer.skew = frame.life, frame.number, 0, None
-        ahead = (frame.number - peer.latest + 0x8000 & 0xFFFF) - 0x8000
-        if ahead > 0:       # doubled frames are told by number; 64 back are remembered
-            peer.seen, peer.latest = (peer.seen << ahead | 1 << ahead - 1) & MASK, frame.number
-        elif ahead < 0:
-            if -ahead > 64 or peer.seen >> -ahead - 1 & 1:
-                return
-            peer.seen |= 1 << -ahead - 1
-        elif peer.skew is not None:
+                peer.asks.clear()
+                peer.queue.clear()
+                for bucket in self.buckets.values():
+                    bucket.leases = {held: lost for held, lost in bucket.leases.items() if held[0] != event.sender}
+            peer.life, peer.window, peer.skew = frame.life, wire.Window(), None
+        if not peer.window.fresh(frame.number):
             return
         # Exception: asks of a backlog that a stalled gateway or link lets through late are skipped; the delay
         # of a frame is told against the least seen from that peer, and 300 ms is above any paced wait.
@@ -402,22 +390,20 @@
         if not stale:
             peer.missed = 0
         for item in frame.items:
+            if isinstance(item, wire.Ask | wire.Return):
+                if item.plan >= len(self.birth.plans):
+                    continue
+                shares = self._shares(self.birth.plans[item.plan], 1)[0]
             if isinstance(item, wire.Ask):
-                if not stale and item.plan < len(self.birth.plans):
-                    wait = self._take(self.buckets, item, self._shares(self.birth.plans[item.plan], 1)[0],
-                                      (event.sender, frame.life, item.serial))
+                if not stale:
+                    wait = self._take(self.buckets, item, shares, (event.sender, frame.life, item.serial))
                     self._post(event.sender, wire.Answer(item.serial, wait))
             elif frame.to_life != self.life:
                 continue    # meant for the life before a restart
             elif isinstance(item, wire.Answer):
                 self._answered(event.sender, peer, item)
             elif isinstance(item, wire.Return):
-                if item.plan < len(self.birth.plans):
-                    most = self._shares(self.birth.plans[item.plan], 1)[0]
-                    if item.units < 0:      # starts the bucket if it is missing
-                        self._take(self.buckets, wire.Ask(0, item.customer, item.plan, 0.0), most._replace(
-                            concurrency=0), ())
-                    self._give(self.buckets, item.customer, item.units, most.capacity)
+                self._give(self.buckets, item, shares, item.units)
             elif item.customer in self.buckets:
                 self.buckets[item.customer].leases.pop((event.sender, frame.life, item.serial), None)
 
@@ -433,13 +419,6 @@
             if self.birth.plans[rpc.ask.plan].concurrency:
                 self._post(sender, wire.Release(answer.serial, rpc.ask.customer))
 
-    def _restarted(self, index: int, peer: Peer) -> None:
-        peer.asks.clear()
-        peer.queue.clear()
-        for bucket in self.buckets.values():
-            for held in [held for held in bucket.leases if held[0] == index]:
-                del bucket.leases[held]
-
     # ---- an RPC from top to bottom
 
     def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
@@ -470,9 +449,8 @@
     def _give_up(self, rpc: Rpc) -> face.Command:
         """A pushback says that a further try is harmless; an abort promises nothing."""
         row = rpc.row
-        harmless = not rpc.maybe or row.repeat == Repeat.IDEMPOTENT or (
-            row.repeat == Repeat.DEDUPLICATED and row.group == "all")
-        if harmless:
+        dropped = row.repeat == Repeat.DEDUPLICATED and row.group == "all"
+        if not rpc.maybe or dropped or row.repeat == Repeat.IDEMPOTENT:
             return face.PushBack(rpc.id, SECOND if self.birth.retry_after else 0)
         return face.Abort(rpc.id)
 
@@ -513,8 +491,7 @@
         # A twentieth of the call-outs may be second copies, three in store: enough to step round a few silent
         # servers, too little to weigh on an overloaded fleet.
         self.copies = min(3.0, self.copies + 0.05)
-        gap = self.now - self.last_send
-        self.send_gap += (min(gap, SECOND) - self.send_gap) * 0.05      # over some twenty sends
+        self.send_gap += (min(self.now - self.last_send, SECOND) - self.send_gap) * 0.05    # over some twenty
         self.last_send = self.now
         ramp = self._ramp(server)
         # With many gateways one call-out of each is a queue: a limit under one is a share of the time.
@@ -629,6 +606,11 @@
         """The latency to expect: the method's usual one, as this server compares, for the crowd there."""
         return row.mean * server.pace * (len(server.open) + 2) / ((self.crowd + 1) * self._ramp(server))
 
+    def _rank(self, server: Server, row: MethodRow) -> float:
+        # Recent failures weigh up to five times: failing fast must not look quick. An eighth of chance keeps
+        # gateways that see the same from choosing the same.
+        return self._expected(server, row) * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
+
     def _room(self, server: Server) -> bool:
         """Under its learnt limit; a cold one holds, and is sent, only its part of what the others are."""
         ramp = self._ramp(server)
@@ -648,33 +630,28 @@
         if rpc.sent >= self.birth.max_call_outs:
             return None
         allowed = [index for index in self.ready if index not in rpc.out.values()]
-        if rpc.maybe:
-            if row.repeat == Repeat.NON_IDEMPOTENT:
+        if rpc.maybe and row.repeat == Repeat.NON_IDEMPOTENT:
+            return None
+        if rpc.maybe and row.repeat == Repeat.DEDUPLICATED:
+            first, sent_at = next(iter(rpc.maybe.values()))
+            if self.now >= sent_at + row.remembered:
                 return None
-            if row.repeat == Repeat.DEDUPLICATED:
-                first, sent_at = next(iter(rpc.maybe.values()))
-                if self.now >= sent_at + row.remembered:
-                    return None
-                home = self.servers[first]
-                if row.group != "all":
-                    same = operator.attrgetter(row.group)       # zone or cell
-                    allowed = [index for index in allowed if same(self.servers[index]) == same(home)]
+            if row.group != "all":
+                group = operator.attrgetter(row.group)      # zone or cell
+                allowed = [index for index in allowed
+                           if group(self.servers[index]) == group(self.servers[first])]
         room = [index for index in allowed if self._room(self.servers[index])]
         fit = [index for index in room if self._fit(self.servers[index])]
         # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used.
         if 2 * len(fit) < len(allowed):
             fit = room
-        best, least = None, 0.0
-        for index in fit:
-            server = self.servers[index]
-            expected = self._expected(server, row)
-            rank = expected * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
-            if best is None or rank < least:
-                best, least, latency = index, rank, expected
+        if not fit:
+            return None
+        best = self.servers[chosen := min(fit, key=lambda index: self._rank(self.servers[index], row))]
         # What can't make its soft deadline is shed; but not on the word of old answers alone, where we have
         # nothing out: a fleet once slow would otherwise be refused for good.
-        if best is None or latency > rpc.soft - self.now and self.servers[best].open:
+        if best.open and self._expected(best, row) > rpc.soft - self.now:
             return None
-        if rpc.out and len(self.servers[best].open) + 1 > self.crowd:
+        if rpc.out and len(best.open) + 1 > self.crowd:
             return None     # no second copy where the fleet has no room for it
-        return best
+        return chosen
--- a/oakfork/peerwire.py
+++ b/oakfork/peerwire.py
@@ -4,6 +4,7 @@
 number, the sender's clock in milliseconds; then items of a fixed length a kind. No decision is taken here.
 """
 import struct
+from collections import deque
 from typing import NamedTuple
 
 LARGEST = 256
@@ -68,6 +69,36 @@
     return HEADER.pack(VERSION, life, to_life, number, clock) + b"".join(packed)
 
 
+def fill(queue: deque[bytes]) -> list[bytes]:
+    """Takes from the queue what one frame holds."""
+    packed, size = [], HEADER.size
+    while queue and size + len(queue[0]) <= LARGEST:
+        size += len(queue[0])
+        packed.append(queue.popleft())
+    return packed
+
+
+class Window:
+    """Tells doubled frames by their numbers; the 64 before the latest are remembered."""
+
+    def __init__(self) -> None:
+        self.latest: int | None = None
+        self.seen = 0
+
+    def fresh(self, number: int) -> bool:
+        if self.latest is None:
+            self.latest = number
+            return True
+        ahead = (number - self.latest + 0x8000 & 0xFFFF) - 0x8000
+        if ahead > 0:
+            self.seen, self.latest = (self.seen << ahead | 1 << ahead - 1) & (1 << 64) - 1, number
+            return True
+        bit = 1 << -ahead - 1 if -64 <= ahead < 0 else self.seen
+        fresh = ahead < 0 and -ahead <= 64 and not self.seen & bit
+        self.seen |= bit
+        return fresh
+
+
 def unpack(data: bytes) -> Frame | None:
     """The frame, or None where it is truncated, too long or not ours."""
     if not HEADER.size <= len(data) <= LARGEST or data[0] != VERSION:
