A cold server is a limit: its ramp's part of fall-multiple call-outs over all gateways

Replaces a pace taken from own traffic, which grew with load. Covers any gateway count; slower than needed where servers have many cores.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -141,8 +141,6 @@
         self.copies = 3.0                       # second copies that may be sent now
         self.ready: list[int] = []
         self.crowd = 1.0                        # usual own call-outs out at a server, the one sent counted
-        self.subscribed = False
-        self.last_send, self.send_gap = now, SECOND / 50
         self.commands: list[face.Command] = []
 
     # ---- the door
@@ -161,7 +159,8 @@
             case face.PeerFrame():
                 self._frame(event)
             case face.ClientGone(rpc):
-                self._close(self.rpcs.get(rpc))
+                if rpc in self.rpcs:
+                    self._close(self.rpcs[rpc])
             case face.StreamStarted(rpc):
                 if rpc in self.rpcs:
                     self.rpcs[rpc].streaming = True
@@ -185,8 +184,7 @@
 
     def _owner(self, ask: face.Arrival) -> tuple[int, int]:
         """The owner of a customer and the number of its gateways: its id hashed over them, sorted."""
-        count = max(1, self.birth.gateways)
-        gateways = sorted({(ask.first_gateway + i) % count for i in range(max(1, ask.spread))})
+        gateways = sorted({(ask.first_gateway + i) % self.birth.gateways for i in range(max(1, ask.spread))})
         mixed = ask.customer * 0x9E3779B97F4A7C15 & MASK
         return gateways[(mixed >> 33) % len(gateways)], len(gateways)
 
@@ -194,8 +192,8 @@
         """The owner's bucket and a gateway's local slice.
 
         Exception, where the even share is less than one request: the slice holds one, or it never says yes.
-        Exception, only under a ceiling: the slices (the owner needs none) share what it leaves over the quota,
-        if that is less, so that the owner and every slice together stay under it however they are split."""
+        Exception, only under a ceiling: the slices (the owner needs none) share what it leaves over the
+        quota, if that is less, so that the owner and every slice together stay under it however they are split."""
         rate, burst = plan.rate, plan.burst
         if plan.ceiling_rate:
             if not rate:    # a ceiling alone: half for the owner, half for the slices
@@ -288,7 +286,7 @@
                     rpc.hold = Hold(None, whole, owner, peer.life, serial)
                     return 0
                 self.refusals[ask.customer] = (self.now + answer.wait, ask.units)
-                self._at(self.now + answer.wait, self._forget_refusal, ask.customer)
+                self._at(self.now + answer.wait, self.refusals.pop, ask.customer, None)
                 return answer.wait
             peer.missed += 1
         wait = self._take_here(rpc, self.slices, local, owner, peer.life if peer else 0)
@@ -309,15 +307,10 @@
         """Exception: after two asks without a reply the owner counts as silent (down, stalled, cut off): RPCs
         go straight to the slice; one ask goes out every quarter of a second until anything is heard. Two,
         since a lost message is common and a third wait would cost as much as the first."""
-        silent = peer.missed >= 2
-        if silent and self.now >= peer.next_try:
-            peer.next_try = self.now + SECOND // 4
-            return True
-        return not silent
-
-    def _forget_refusal(self, customer: int) -> None:
-        if customer in self.refusals and self.refusals[customer][0] <= self.now:
-            del self.refusals[customer]
+        if peer.missed >= 2 and self.now < peer.next_try:
+            return False
+        peer.next_try = self.now + SECOND // 4
+        return True
 
     def _give_back(self, rpc: Rpc, units: float) -> None:
         """Returns units to where they came from: not sent on, or settled for less (or, below 0, for more)."""
@@ -377,7 +370,8 @@
                 peer.asks.clear()
                 peer.queue.clear()
                 for bucket in self.buckets.values():
-                    bucket.leases = {held: lost for held, lost in bucket.leases.items() if held[0] != event.sender}
+                    for held in [held for held in bucket.leases if held[0] == event.sender]:
+                        del bucket.leases[held]
             peer.life, peer.window, peer.skew = frame.life, wire.Window(), None
         if not peer.window.fresh(frame.number):
             return
@@ -433,7 +427,8 @@
             return
         copy_at = 0
         while self.now < rpc.dl:
-            if not rpc.out or self.now >= copy_at and self._may_copy(rpc):
+            copy = self.birth.second_copies and self.copies >= 1 and (self.now < rpc.soft or rpc.row.late > 0)
+            if not rpc.out or copy and self.now >= copy_at:
                 server = self._choose(rpc)
                 if server is not None:
                     self.copies -= 1 if rpc.out else 0
@@ -454,10 +449,6 @@
             return face.PushBack(rpc.id, SECOND if self.birth.retry_after else 0)
         return face.Abort(rpc.id)
 
-    def _may_copy(self, rpc: Rpc) -> bool:
-        return (self.birth.second_copies and self.copies >= 1 and not rpc.streaming
-                and (self.now < rpc.soft or rpc.row.late > 0))
-
     def _arrive(self, arrival: face.Arrival) -> None:
         row = self.methods[arrival.method]
         rpc = Rpc(arrival.rpc, arrival, row, self.now + row.soft, self.now + arrival.time_left)
@@ -491,14 +482,8 @@
         # A twentieth of the call-outs may be second copies, three in store: enough to step round a few silent
         # servers, too little to weigh on an overloaded fleet.
         self.copies = min(3.0, self.copies + 0.05)
-        self.send_gap += (min(self.now - self.last_send, SECOND) - self.send_gap) * 0.05    # over some twenty
-        self.last_send = self.now
-        ramp = self._ramp(server)
-        # With many gateways one call-out of each is a queue: a limit under one is a share of the time.
-        if server.limit < 1:
-            server.not_before = self.now + int(self.mean_latency / server.limit)
-        if ramp < 1:
-            server.not_before = self.now + int(self.send_gap * max(1, len(self.ready)) / ramp)
+        if (limit := self._limit(server)) < 1:      # a share of the time
+            server.not_before = self.now + int(self.mean_latency / limit)
         return number
 
     def _ended(self, event: face.CallOutEnded) -> None:
@@ -508,7 +493,8 @@
         if rpc is None or sent_at is None:
             return
         rpc.out.pop(event.call_out, None)
-        self._judge(server, rpc.row, event, sent_at)
+        if event.status != Status.MOOT:
+            self._judge(server, rpc.row, event.status, self.now - sent_at)
         if event.status in NEVER_RAN:
             rpc.maybe.pop(event.call_out, None)
         if event.status == Status.OK and event.true_units and self.birth.settles:
@@ -518,10 +504,8 @@
         else:
             self._resume(rpc, event)
 
-    def _close(self, rpc: Rpc | None) -> None:
+    def _close(self, rpc: Rpc) -> None:
         """It has its final answer: call-outs still out are cancelled, what it holds goes back at the end."""
-        if rpc is None:
-            return
         if not rpc.over:
             rpc.over = True
             rpc.run.close()
@@ -536,8 +520,7 @@
     # ---- servers: list, what is seen of them, choice
 
     def _list(self, event: face.ServerList) -> None:
-        if self.birth.asks_list and (event.failed or not self.subscribed):
-            self.subscribed = not event.failed
+        if self.birth.asks_list and (event.failed or not self.servers):     # on a failure, and at the start
             self.commands.append(face.Subscribe())
         if event.failed:
             return
@@ -560,32 +543,29 @@
             return 1.0
         return self.birth.cold_share + (1 - self.birth.cold_share) * max(0, age) / self.birth.cold_time
 
-    def _judge(self, server: Server, row: MethodRow, event: face.CallOutEnded, sent_at: int) -> None:
-        status, elapsed = event.status, self.now - sent_at
-        if status == Status.MOOT:
-            return
+    def _judge(self, server: Server, row: MethodRow, status: Status, elapsed: int) -> None:
         # Guards against a queue that nobody's answers leave in time (overload, a jam after a stall, work done
         # for clients that have gone, servers slowed by what they hold): one queue serves all methods, so a
         # wait of over a fifth of the shortest soft deadline takes a fifth off what we keep out there.
-        if status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
-            if elapsed - 2 * row.base > self.shortest // 5:
-                server.limit = max(0.1, min(server.limit, len(server.open) + 1) * 0.8)
-            elif status == Status.OK:
-                more = min(0.5 / server.limit, server.limit / 2)
-                server.limit = min(server.limit + more, 2.0 * len(server.open) + 8)
+        jammed = status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT) and (
+            elapsed - 2 * row.base > self.shortest // 5)
+        if status == Status.OK and not jammed:
+            more = min(0.5 / server.limit, server.limit / 2)
+            server.limit = min(server.limit + more, 2.0 * len(server.open) + 8)
+        elif jammed or status == Status.FULL:
+            server.limit = max(0.1, min(server.limit, len(server.open) + 1) * 0.8)
         if status == Status.CANCELLED:
             return
         server.heard = self.now
         if status == Status.FULL:   # not ill, but it takes no more for about the time of one answer
-            server.limit = max(0.1, min(server.limit, len(server.open) + 1) * 0.8)
             server.not_before = self.now + int(row.base)
             return
         if status == Status.OK:
             crowd = len(server.open) + 1
             # An answer tells the method's usual latency and how this server compares, over some ten answers.
             row.mean += (elapsed - row.mean) * 0.05
-            # The lowest that the mean has been; it follows a real change slowly, by half in some 1,600 answers,
-            # so that a standing queue does not come to look usual.
+            # The lowest that the mean has been; it follows a real change slowly, by half in 1,600 answers, so
+            # that a standing queue does not come to look usual.
             row.base = min(row.mean, row.base * 1.00025)
             self.mean_latency += (elapsed - self.mean_latency) * 0.05
             self.crowd += (crowd - self.crowd) * 0.05
@@ -611,11 +591,16 @@
         # gateways that see the same from choosing the same.
         return self._expected(server, row) * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
 
-    def _room(self, server: Server) -> bool:
-        """Under its learnt limit; a cold one holds, and is sent, only its part of what the others are."""
+    def _limit(self, server: Server) -> float:
+        """Own call-outs at once; under one it is a share of the time, since with many gateways one call-out of
+        each is a queue already. A cold server gets, from all gateways together, its ramp's part of
+        fall-multiple call-outs: guards against pushing it over, however little is known of what it can do."""
         ramp = self._ramp(server)
-        limit = max(1.0, server.limit if ramp == 1 else min(server.limit, 3 * ramp))
-        return self.now >= server.not_before and len(server.open) < limit
+        return server.limit if ramp == 1 else min(
+            server.limit, max(0.05, self.birth.fall_multiple * ramp / self.birth.gateways))
+
+    def _room(self, server: Server) -> bool:
+        return self.now >= server.not_before and len(server.open) < max(1.0, self._limit(server))
 
     def _fit(self, server: Server) -> bool:
         """Not set aside, not silent. Guards against what answers nothing (hangs, cuts, pauses, very slow
