--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -92,7 +92,6 @@
     repeat: Repeat
     group: str
     remembered: int
-    late: float
     mean: float     # usual latency
     base: float     # usual latency without a queue
 
@@ -122,9 +121,8 @@
         self.chance = birth.seed & MASK
         self.life = 1 + self._random(65535)     # names this start to the others
         # An eighth of the soft deadline is a first guess only: replaced within some twenty answers.
-        self.methods = [MethodRow(method.soft_deadline, method.repeat, method.group, method.remembered,
-                                  method.late_utility, method.soft_deadline / 8, method.soft_deadline / 8)
-                        for method in birth.methods]
+        self.methods = [MethodRow(row.soft_deadline, row.repeat, row.group, row.remembered,
+                                  row.soft_deadline / 8, row.soft_deadline / 8) for row in birth.methods]
         self.shortest = min((method.soft_deadline for method in birth.methods), default=SECOND)
         self.longest = max((method.deadline for method in birth.methods), default=SECOND)
         self.servers: dict[int, Server] = {}
@@ -158,12 +156,10 @@
                 self.woken = None if self.woken is None or now >= self.woken else self.woken
             case face.PeerFrame():
                 self._frame(event)
-            case face.ClientGone(rpc):
-                if rpc in self.rpcs:
-                    self._close(self.rpcs[rpc])
-            case face.StreamStarted(rpc):
-                if rpc in self.rpcs:
-                    self.rpcs[rpc].streaming = True
+            case face.ClientGone(rpc) if rpc in self.rpcs:
+                self._close(self.rpcs[rpc])
+            case face.StreamStarted(rpc) if rpc in self.rpcs:
+                self.rpcs[rpc].streaming = True
         while self.alarms and self.alarms[0][0] <= now:
             _, _, act, args = heapq.heappop(self.alarms)
             act(*args)
@@ -193,7 +189,7 @@
 
         Exception, where the even share is less than one request: the slice holds one, or it never says yes.
         Exception, only under a ceiling: the slices (the owner needs none) share what it leaves over the
-        quota, if that is less, so that the owner and every slice together stay under it however they are split."""
+        quota, if that is less, so that owner and slices together stay under it however they are split."""
         rate, burst = plan.rate, plan.burst
         if plan.ceiling_rate:
             if not rate:    # a ceiling alone: half for the owner, half for the slices
@@ -282,11 +278,11 @@
             answer = yield Wait(min(rpc.dl, self.now + wait))
             rpc.asking = -1
             if isinstance(answer, wire.Answer):
-                if not answer.wait:
+                if answer.wait:
+                    self.refusals[ask.customer] = (self.now + answer.wait, ask.units)
+                    self._at(self.now + answer.wait, self.refusals.pop, ask.customer, None)
+                else:
                     rpc.hold = Hold(None, whole, owner, peer.life, serial)
-                    return 0
-                self.refusals[ask.customer] = (self.now + answer.wait, ask.units)
-                self._at(self.now + answer.wait, self.refusals.pop, ask.customer, None)
                 return answer.wait
             peer.missed += 1
         wait = self._take_here(rpc, self.slices, local, owner, peer.life if peer else 0)
@@ -323,7 +319,6 @@
             self._post(hold.owner, wire.Return(ask.customer, ask.plan, units))
 
     def _release(self, rpc: Rpc) -> None:
-        """The RPC holds no call-out any more."""
         hold, customer = rpc.hold, rpc.ask.customer
         if hold is None or not hold.shares.concurrency:
             return
@@ -346,12 +341,10 @@
         peer.armed = False
         # Nine tenths of the other's intake, shared by all who write to it; a credit of three lets a few
         # frames go at once, which shortens the wait without passing the cap over a second.
-        rate = 0.9 * self.birth.mail_per_s / SECOND / max(1, len(self.peers))
+        rate = 0.9 * max(1.0, self.birth.mail_per_s) / SECOND / len(self.peers)
         peer.credit = min(3.0, peer.credit + (self.now - peer.credited) * rate)
         peer.credited = self.now
-        if not peer.queue or not rate:
-            return
-        if peer.credit >= 1:
+        if peer.queue and peer.credit >= 1:
             peer.credit -= 1
             peer.sent = (peer.sent + 1) & 0xFFFF
             clock = self.now // 10 & 0xFFFF
@@ -427,7 +420,7 @@
             return
         copy_at = 0
         while self.now < rpc.dl:
-            copy = self.birth.second_copies and self.copies >= 1 and (self.now < rpc.soft or rpc.row.late > 0)
+            copy = self.birth.second_copies and self.copies >= 1 and self.now < rpc.soft
             if not rpc.out or copy and self.now >= copy_at:
                 server = self._choose(rpc)
                 if server is not None:
@@ -456,12 +449,14 @@
         rpc.run = self._answer(rpc)
         self._resume(rpc, None)
 
-    def _resume(self, rpc: Rpc, value: object) -> None:
-        while not rpc.over:
+    def _resume(self, rpc: Rpc, value: object, step: int | None = None) -> None:
+        """Goes on with an RPC; an alarm names the step it was set in."""
+        while not rpc.over and (step is None or step == rpc.step and not rpc.streaming):
+            step = None
             rpc.step += 1
             command = rpc.run.send(value)
             if isinstance(command, Wait):
-                self._at(command.until, self._alarm, rpc, rpc.step)
+                self._at(command.until, self._resume, rpc, None, rpc.step)
                 return
             self.commands.append(command)
             if isinstance(command, face.Send):
@@ -469,10 +464,6 @@
             else:
                 self._close(rpc)
 
-    def _alarm(self, rpc: Rpc, step: int) -> None:
-        if not rpc.over and rpc.step == step and not rpc.streaming:
-            self._resume(rpc, None)
-
     def _sent(self, rpc: Rpc, index: int) -> int:
         server, number = self.servers[index], rpc.sent
         rpc.out[number] = index
@@ -544,24 +535,18 @@
         return self.birth.cold_share + (1 - self.birth.cold_share) * max(0, age) / self.birth.cold_time
 
     def _judge(self, server: Server, row: MethodRow, status: Status, elapsed: int) -> None:
+        crowd = len(server.open) + 1
         # Guards against a queue that nobody's answers leave in time (overload, a jam after a stall, work done
         # for clients that have gone, servers slowed by what they hold): one queue serves all methods, so a
         # wait of over a fifth of the shortest soft deadline takes a fifth off what we keep out there.
-        jammed = status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT) and (
-            elapsed - 2 * row.base > self.shortest // 5)
-        if status == Status.OK and not jammed:
-            more = min(0.5 / server.limit, server.limit / 2)
-            server.limit = min(server.limit + more, 2.0 * len(server.open) + 8)
-        elif jammed or status == Status.FULL:
-            server.limit = max(0.1, min(server.limit, len(server.open) + 1) * 0.8)
-        if status == Status.CANCELLED:
-            return
-        server.heard = self.now
-        if status == Status.FULL:   # not ill, but it takes no more for about the time of one answer
-            server.not_before = self.now + int(row.base)
-            return
+        waited = elapsed - 2 * row.base > self.shortest // 5
+        if status == Status.FULL or waited and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
+            server.limit = max(0.1, min(server.limit, crowd) * 0.8)
+        elif status == Status.OK:
+            server.limit = min(server.limit + min(0.5 / server.limit, server.limit / 2), 2.0 * crowd + 6)
+        if status != Status.CANCELLED:
+            server.heard = self.now
         if status == Status.OK:
-            crowd = len(server.open) + 1
             # An answer tells the method's usual latency and how this server compares, over some ten answers.
             row.mean += (elapsed - row.mean) * 0.05
             # The lowest that the mean has been; it follows a real change slowly, by half in 1,600 answers, so
@@ -574,13 +559,15 @@
             if server.trickle:      # a server set aside gets a trickle that doubles while it goes well
                 server.trickle = server.trickle * 2 if server.trickle < 16 else 0
                 server.rests = server.rests if server.trickle else 0
-            return
-        # Guards against fast errors, lost connections, dead processes, hangs: any failure counts alike. Two
-        # in a row, or a third of the recent ones, set a server aside for a second, then two, four, eight.
-        server.bad += (1 - server.bad) * 0.2
-        if self.now >= server.aside_until and (server.bad > 0.3 or server.trickle):
-            server.aside_until = self.now + (SECOND << min(3, server.rests))
-            server.rests, server.trickle, server.bad = server.rests + 1, 1, 0.0
+        elif status == Status.FULL:     # not ill, but it takes no more for about the time of one answer
+            server.not_before = self.now + int(row.base)
+        elif status != Status.CANCELLED:
+            # Guards against fast errors, lost connections, dead processes, hangs: all failures count alike.
+            # Two in a row, or a third of the recent ones, set a server aside: 1 s, then 2, 4, 8.
+            server.bad += (1 - server.bad) * 0.2
+            if self.now >= server.aside_until and (server.bad > 0.3 or server.trickle):
+                server.aside_until = self.now + (SECOND << min(3, server.rests))
+                server.rests, server.trickle, server.bad = server.rests + 1, 1, 0.0
 
     def _expected(self, server: Server, row: MethodRow) -> float:
         """The latency to expect: the method's usual one, as this server compares, for the crowd there."""
@@ -592,12 +579,12 @@
         return self._expected(server, row) * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
 
     def _limit(self, server: Server) -> float:
-        """Own call-outs at once; under one it is a share of the time, since with many gateways one call-out of
-        each is a queue already. A cold server gets, from all gateways together, its ramp's part of
+        """Own call-outs at once; under one it is a share of the time: with many gateways one call-out of each
+        is a queue already. A cold server gets, from all gateways together, its ramp's part of
         fall-multiple call-outs: guards against pushing it over, however little is known of what it can do."""
         ramp = self._ramp(server)
-        return server.limit if ramp == 1 else min(
-            server.limit, max(0.05, self.birth.fall_multiple * ramp / self.birth.gateways))
+        part = max(0.05, self.birth.fall_multiple * ramp / self.birth.gateways)
+        return server.limit if ramp == 1 else min(server.limit, part)
 
     def _room(self, server: Server) -> bool:
         return self.now >= server.not_before and len(server.open) < max(1.0, self._limit(server))
@@ -612,10 +599,8 @@
 
     def _choose(self, rpc: Rpc) -> int | None:
         row = rpc.row
-        if rpc.sent >= self.birth.max_call_outs:
-            return None
         allowed = [index for index in self.ready if index not in rpc.out.values()]
-        if rpc.maybe and row.repeat == Repeat.NON_IDEMPOTENT:
+        if rpc.sent >= self.birth.max_call_outs or rpc.maybe and row.repeat == Repeat.NON_IDEMPOTENT:
             return None
         if rpc.maybe and row.repeat == Repeat.DEDUPLICATED:
             first, sent_at = next(iter(rpc.maybe.values()))
@@ -623,20 +608,16 @@
                 return None
             if row.group != "all":
                 group = operator.attrgetter(row.group)      # zone or cell
-                allowed = [index for index in allowed
-                           if group(self.servers[index]) == group(self.servers[first])]
+                allowed = [i for i in allowed if group(self.servers[i]) == group(self.servers[first])]
         room = [index for index in allowed if self._room(self.servers[index])]
         fit = [index for index in room if self._fit(self.servers[index])]
         # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used.
-        if 2 * len(fit) < len(allowed):
-            fit = room
+        fit = fit if 2 * len(fit) >= len(allowed) else room
         if not fit:
             return None
         best = self.servers[chosen := min(fit, key=lambda index: self._rank(self.servers[index], row))]
         # What can't make its soft deadline is shed; but not on the word of old answers alone, where we have
         # nothing out: a fleet once slow would otherwise be refused for good.
-        if best.open and self._expected(best, row) > rpc.soft - self.now:
-            return None
-        if rpc.out and len(best.open) + 1 > self.crowd:
-            return None     # no second copy where the fleet has no room for it
-        return chosen
+        # And no second copy goes where the fleet has no room for it.
+        late = best.open and self._expected(best, row) > rpc.soft - self.now
+        return None if late or rpc.out and len(best.open) + 1 > self.crowd else chosen
