Limits grow by the square of the gateways more slowly

Cause: each gateway balanced its own limit against the same share of long waits, so eleven of them settled at four times the sum of three and kept servers overdriven. Covers any deployment with many gateways; after a fall limits come back more slowly there.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -470,8 +470,7 @@
         rpc.maybe[number] = (index, self.now)
         rpc.sent += 1
         server.open[rpc.id, number] = self.now
-        # A twentieth of the call-outs may be second copies, three in store: enough to step round a few silent
-        # servers, too little to weigh on an overloaded fleet.
+        # A twentieth of the call-outs may be second copies: too little to weigh on an overloaded fleet.
         self.copies = min(3.0, self.copies + 0.05)
         if (limit := self._limit(server)) < 1:      # a share of the time
             server.not_before = self.now + int(self.mean_latency / limit)
@@ -543,7 +542,9 @@
         if status == Status.FULL or waited and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
             server.limit = max(0.1, min(server.limit, crowd) * 0.8)
         elif status == Status.OK:
-            server.limit = min(server.limit + min(0.5 / server.limit, server.limit / 2), 2.0 * crowd + 6)
+            # All gateways' limits add up: over the square of their number, growth settles at the same sum.
+            more = min(4 / self.birth.gateways ** 2 / server.limit, server.limit / 2)
+            server.limit = min(server.limit + more, 2.0 * crowd + 6)
         if status != Status.CANCELLED:
             server.heard = self.now
         if status == Status.OK:
@@ -618,6 +619,6 @@
         best = self.servers[chosen := min(fit, key=lambda index: self._rank(self.servers[index], row))]
         # What can't make its soft deadline is shed; but not on the word of old answers alone, where we have
         # nothing out: a fleet once slow would otherwise be refused for good.
-        # And no second copy goes where the fleet has no room for it.
         late = best.open and self._expected(best, row) > rpc.soft - self.now
-        return None if late or rpc.out and len(best.open) + 1 > self.crowd else chosen
+        crowded = rpc.out and len(best.open) + 1 > self.crowd   # no room for second copies
+        return None if late or crowded else chosen
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -289,3 +289,13 @@
     owner = gateway(1, 4)
     owner.handle(10, face.PeerFrame(0, wire.pack(9, owner.life, 1, 0, [wire.pack_item(wire.Return(5, 0, -1.0))])))
     assert owner.buckets[5].tokens == pytest.approx(PLANS[0].burst - 1)
+
+
+def test_limits_grow_more_slowly_the_more_gateways_add_to_them():
+    grown = []
+    for gateways in (2, 8):
+        brain = gateway(gateways=gateways)
+        brain.servers[0].limit = 2.0
+        brain._judge(brain.servers[0], brain.methods[0], Status.OK, 100)
+        grown.append(brain.servers[0].limit - 2.0)
+    assert grown[0] == pytest.approx(16 * grown[1])
