What cannot be answered before its client gives up is shed too

Cause, told by call-outs that all ended at 420 ms for one plan only: its clients give up then and come again up to seven times; work begun for them was wasted. Covers impatient clients and late retries; could refuse what a lucky short RPC would have made.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -617,8 +617,8 @@
         if not fit:
             return None
         best = self.servers[chosen := min(fit, key=lambda index: self._rank(self.servers[index], row))]
-        # What can't make its soft deadline is shed; but not on the word of old answers alone, where we have
-        # nothing out: a fleet once slow would otherwise be refused for good.
-        late = best.open and self._expected(best, row) > rpc.soft - self.now
+        # What can't make its soft deadline, or its client's if sooner, is shed; but not on the word of old
+        # answers alone, where we have nothing out: a fleet once slow would otherwise be refused for good.
+        late = best.open and self._expected(best, row) > min(rpc.soft, rpc.dl) - self.now
         crowded = rpc.out and len(best.open) + 1 > self.crowd   # no room for second copies
         return None if late or crowded else chosen
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -299,3 +299,10 @@
         brain._judge(brain.servers[0], brain.methods[0], Status.OK, 100)
         grown.append(brain.servers[0].limit - 2.0)
     assert grown[0] == pytest.approx(16 * grown[1])
+
+
+def test_what_its_client_will_not_wait_for_is_shed():
+    brain = gateway(servers=1)
+    brain.handle(10, arrival(1, 1))
+    assert face.Send in kinds(brain.handle(20, arrival(2, 2)))
+    assert kinds(brain.handle(30, arrival(3, 3, left=1000))) == [face.PushBack]
