A common cause is told by health alone, not by servers at their limits

Cause: under load few servers had room, so the test for a fleet ill at once held and dead or hanging servers got RPCs. Covers hangs and lost zones under load; could refuse more where health is misjudged.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -610,11 +610,11 @@
             if row.group != "all":
                 group = operator.attrgetter(row.group)      # zone or cell
                 allowed = [i for i in allowed if group(self.servers[i]) == group(self.servers[first])]
-        room = [index for index in allowed if self._room(self.servers[index])]
-        fit = [index for index in room if self._fit(self.servers[index])]
-        # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used.
-        fit = fit if 2 * len(fit) >= len(allowed) else room
-        if not fit:
+        well = [index for index in allowed if self._fit(self.servers[index])]
+        # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used. Told by
+        # health alone: where servers are merely at their limits, the ill ones must not get what is left.
+        well = well if 2 * len(well) >= len(allowed) else allowed
+        if not (fit := [index for index in well if self._room(self.servers[index])]):
             return None
         best = self.servers[chosen := min(fit, key=lambda index: self._rank(self.servers[index], row))]
         # What can't make its soft deadline, or its client's if sooner, is shed; but not on the word of old
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -306,3 +306,11 @@
     brain.handle(10, arrival(1, 1))
     assert face.Send in kinds(brain.handle(20, arrival(2, 2)))
     assert kinds(brain.handle(30, arrival(3, 3, left=1000))) == [face.PushBack]
+
+
+def test_an_ill_server_does_not_get_what_the_others_have_no_room_for():
+    brain = gateway(servers=4)
+    brain.servers[0].aside_until = 99 * SECOND
+    for server in range(1, 4):
+        brain.servers[server].not_before = 99 * SECOND
+    assert kinds(brain.handle(10, arrival(1))) == [face.PushBack]
