--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -172,6 +172,9 @@
     brain.handle(30, face.PeerFrame(0, wire.pack(9, 1, 2, 0, [wire.pack_item(wire.Return(5, 0, 1.0))])))
     assert brain.buckets[5].tokens == pytest.approx(PLANS[0].burst - 1, abs=0.01)     # meant for an earlier life
 
+    brain.handle(40, face.PeerFrame(0, wire.pack(10, 0, 1, 0, [wire.pack_item(wire.Ask(1, 6, 0, 1.0))])))
+    assert 6 in brain.buckets                                       # a new life counts its frames anew
+
 
 def test_a_stale_backlog_is_skipped():
     brain = gateway(1, 2)
