Links between gateways are paced by unanswered asks, not by an even split

Cause: 0.9 of the intake split over hundreds of peers leaves a link less than one frame in two seconds, so a quarter of the asks had no reply in time and slices decided. A link now starts at a quarter of the intake; an unanswered ask halves it, down to the even share; replies bring it back. Also covers owners that are briefly crowded. Could hurt where many gateways turn to one owner at the same moment: mail is lost until the links have slowed down.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -69,7 +69,8 @@
     window: wire.Window = field(default_factory=wire.Window)
     skew: int | None = None     # the least difference of clocks seen: a frame without delay
     queue: deque[bytes] = field(default_factory=deque)      # emptied by _flush
-    credit: float = 1.0     # frames that may go now
+    credit: float = 3.0     # frames that may go now
+    rate: float = 0.0       # frames a tenth of a millisecond
     armed: bool = False
     missed: int = 0         # asks in a row without a reply
     next_try: int = 0
@@ -130,7 +131,12 @@
         self.buckets: dict[int, Bucket] = {}    # as owner; emptied by _check
         self.slices: dict[int, Bucket] = {}     # without the owner; emptied by _check
         self.refusals: dict[int, tuple[int, float]] = {}    # customer -> until, units; emptied at until
-        self.peers = {i: Peer(now) for i in range(birth.gateways) if i != birth.index}
+        # Nine tenths of a gateway's intake, shared evenly by all who may write to it, is safe, but with hundreds
+        # an ask waits for seconds. Most peers say nothing most of the time, so a link starts at a quarter of
+        # the intake; an ask without a reply halves that, down to the even share, and replies bring it back.
+        self.even = 0.9 * max(1.0, birth.mail_per_s) / SECOND / max(1, birth.gateways - 1)
+        self.swift = max(self.even, birth.mail_per_s / 4 / SECOND)
+        self.peers = {i: Peer(now, rate=self.swift) for i in range(birth.gateways) if i != birth.index}
         self.alarms: list[tuple[int, int, Callable, tuple]] = []
         self.alarm_no = self.serial = 0
         self.woken: int | None = None
@@ -285,6 +291,7 @@
                     rpc.hold = Hold(None, whole, owner, peer.life, serial)
                 return answer.wait
             peer.missed += 1
+            peer.rate = max(self.even, peer.rate / 2)
         wait = self._take_here(rpc, self.slices, local, owner, peer.life if peer else 0)
         if not wait and peer and peer.life:
             # Exception: what the slice spends is told to the owner, so that it does not grant the same again
@@ -339,10 +346,8 @@
     def _flush(self, to: int) -> None:
         peer = self.peers[to]
         peer.armed = False
-        # Nine tenths of the other's intake, shared by all who write to it; a credit of three lets a few
-        # frames go at once, which shortens the wait without passing the cap over a second.
-        rate = 0.9 * max(1.0, self.birth.mail_per_s) / SECOND / len(self.peers)
-        peer.credit = min(3.0, peer.credit + (self.now - peer.credited) * rate)
+        # A credit of three lets a few frames go at once, without passing the cap over a second.
+        peer.credit = min(3.0, peer.credit + (self.now - peer.credited) * peer.rate)
         peer.credited = self.now
         if peer.queue and peer.credit >= 1:
             peer.credit -= 1
@@ -352,7 +357,7 @@
             self.commands.append(face.Tell(to, data))
         if peer.queue:
             peer.armed = True
-            self._at(self.now + int((1 - peer.credit) / rate), self._flush, to)
+            self._at(self.now + int((1 - peer.credit) / peer.rate), self._flush, to)
 
     def _frame(self, event: face.PeerFrame) -> None:
         frame, peer = wire.unpack(event.data), self.peers.get(event.sender)
@@ -399,6 +404,7 @@
         if rpc is None:
             return
         self.reply += (self.now - asked_at - self.reply) * 0.1
+        peer.rate = min(self.swift, peer.rate * 1.25)
         if rpc.asking == answer.serial and not rpc.over:
             self._resume(rpc, answer)
         elif not answer.wait:       # a late yes: its units go back
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -317,3 +317,13 @@
     for server in range(1, 4):
         brain.servers[server].not_before = 99 * SECOND
     assert kinds(brain.handle(10, arrival(1))) == [face.PushBack]
+
+
+def test_a_link_among_hundreds_is_quick_until_asks_go_unanswered():
+    brain, customer = gateway(0, 200), owned_by(1, 200)
+    quick = brain.peers[1].rate
+    assert quick > 10 * brain.even
+    brain.handle(0, arrival(1, customer, spread=200))
+    frame_of(brain.handle(1, face.TimeCame(0)))     # at once, though a hundred and ninety-nine others could write too
+    brain.handle(METHODS[0].soft_deadline // 10, face.TimeCame(0))
+    assert brain.peers[1].rate == quick / 2
