A no from the owner empties the local slice too

Cause: with hundreds of gateways each slice holds a request at least, so each lost reply of a customer far beyond its quota was granted beside the owner. Could hurt a customer whose use falls just as its owner dies: its slices start empty.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -285,6 +285,10 @@
             rpc.asking = -1
             if isinstance(answer, wire.Answer):
                 if answer.wait:
+                    # Exception: then the slice here counts as spent as well. Guards against hundreds of slices
+                    # of one request each, granted beside the owner whenever a reply is lost.
+                    if local.rate:
+                        self._bucket(self.slices, ask, local).tokens = 0.0
                     self.refusals[ask.customer] = (self.now + answer.wait, ask.units)
                     self._at(self.now + answer.wait, self.refusals.pop, ask.customer, None)
                 else:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -122,6 +122,7 @@
     no = wire.pack(77, brain.life, 1, 0, [wire.pack_item(wire.Answer(serial, 3000))])
     assert face.PushBack in kinds(brain.handle(100, face.PeerFrame(1, no)))
     assert face.PushBack in kinds(brain.handle(200, arrival(2, customer, spread=2)))    # without an ask
+    assert brain.slices[customer].tokens < 0.2                      # the slice is spent as well
     brain.handle(100 + 3100, face.TimeCame(0))
     assert not brain.refusals
 
