Cold servers get their part from hundreds of gateways: spaced by each, from a drawn point

Cause: a floor of 0.05 call-outs a gateway is four times a cold server's work with 80 gateways, and all sent to it the moment they heard of its start. Now each gateway's share of fall-multiple call-outs is spaced in time over the ramp's mean since its last call-out, the first from a point drawn by chance. Could hurt where most of a small fleet is cold: it is used less than it could be.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -57,7 +57,8 @@
     rests: int = 0          # how often it was set aside without coming back fully
     trickle: int = 0        # own call-outs at once while it comes back; 0: it is back
     aside_until: int = 0
-    not_before: int = 0     # nothing is sent earlier: it is cold, or was full
+    not_before: int = 0     # nothing is sent earlier: it was full
+    sent_at: int = 0        # the last call-out to it; for a cold one, at first a point drawn by chance
 
 
 @dataclass(slots=True)
@@ -482,8 +483,7 @@
         server.open[rpc.id, number] = self.now
         # A twentieth of the call-outs may be second copies: too little to weigh on an overloaded fleet.
         self.copies = min(3.0, self.copies + 0.05)
-        if (limit := self._limit(server)) < 1:      # a share of the time
-            server.not_before = self.now + int(self.mean_latency / limit)
+        server.sent_at = self.now
         return number
 
     def _ended(self, event: face.CallOutEnded) -> None:
@@ -530,15 +530,17 @@
             if server is None or entry.up_since != server.since:    # another process: nothing learnt holds
                 server = Server(entry.up_since, open=server.open if server else {})
                 self.servers[entry.server] = server
+                if (limit := self._limit(server)) < 1:      # or all gateways would send to it at once
+                    server.sent_at = self.now - self._random(int(self.mean_latency / limit))
             server.zone, server.cell, server.state = entry.zone, entry.cell, entry.state
         for index, server in self.servers.items():
             if event.complete and index not in listed:
                 server.state = State.GONE
         self.ready = [index for index, server in sorted(self.servers.items()) if server.state == State.READY]
 
-    def _ramp(self, server: Server) -> float:
+    def _ramp(self, server: Server, at: int) -> float:
         """The part of its work that a server does for certain: cold-share at its start, all in cold-time."""
-        age = self.now - server.since
+        age = at - server.since
         if not server.since or age >= self.birth.cold_time:
             return 1.0
         return self.birth.cold_share + (1 - self.birth.cold_share) * max(0, age) / self.birth.cold_time
@@ -582,7 +584,7 @@
 
     def _expected(self, server: Server, row: MethodRow) -> float:
         """The latency to expect: the method's usual one, as this server compares, for the crowd there."""
-        return row.mean * server.pace * (len(server.open) + 2) / ((self.crowd + 1) * self._ramp(server))
+        return row.mean * server.pace * (len(server.open) + 2) / ((self.crowd + 1) * self._ramp(server, self.now))
 
     def _rank(self, server: Server, row: MethodRow) -> float:
         # Recent failures weigh up to five times: failing fast must not look quick. An eighth of chance keeps
@@ -593,12 +595,15 @@
         """Own call-outs at once; under one it is a share of the time: with many gateways one call-out of each
         is a queue already. A cold server gets, from all gateways together, its ramp's part of
         fall-multiple call-outs: guards against pushing it over, however little is known of what it can do."""
-        ramp = self._ramp(server)
-        part = max(0.05, self.birth.fall_multiple * ramp / self.birth.gateways)
-        return server.limit if ramp == 1 else min(server.limit, part)
+        if (ramp := self._ramp(server, self.now)) == 1:
+            return server.limit
+        ramp = (ramp + self._ramp(server, server.sent_at)) / 2      # its mean since the last call-out
+        return min(server.limit, self.birth.fall_multiple * ramp / self.birth.gateways)
 
     def _room(self, server: Server) -> bool:
-        return self.now >= server.not_before and len(server.open) < max(1.0, self._limit(server))
+        limit = self._limit(server)
+        spaced = limit >= 1 or (self.now - server.sent_at) * limit >= self.mean_latency
+        return spaced and self.now >= server.not_before and len(server.open) < max(1.0, limit)
 
     def _fit(self, server: Server) -> bool:
         """Not set aside, not silent. Guards against what answers nothing (hangs, cuts, pauses, very slow
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -328,3 +328,16 @@
     frame_of(brain.handle(1, face.TimeCame(0)))     # at once, though a hundred and ninety-nine others could write too
     brain.handle(METHODS[0].soft_deadline // 10, face.TimeCame(0))
     assert brain.peers[1].rate == quick / 2
+
+
+def test_all_gateways_together_send_a_cold_server_its_part():
+    sent = []
+    for index in range(80):     # each has more to send than the cold server, the only one, may get
+        brain = gateway(index, 80, seed=index, servers=0)
+        brain.handle(50 * SECOND, face.ServerList(False, False, (entry(0, State.READY, 50 * SECOND),)))
+        for at in range(50 * SECOND, 54 * SECOND, SECOND // 4):
+            for send in (c for c in brain.handle(at, arrival(at, at)) if isinstance(c, face.Send)):
+                sent.append(at)
+                brain.handle(at + 1, ended(send.rpc, 0, 0))
+    # Under fall-multiple times the cold share of what one server does at the usual latency, with room for chance.
+    assert 10 < len(sent) < 1.5 * 2 * 0.3 * 4 * SECOND / brain.mean_latency and len(set(sent)) > 8
