A gateway lets in fewer RPCs while its own call-outs are late

Cause: with many gateways the limits of single servers are never reached by one gateway's few call-outs, so queues of work that no longer counted stood for good. Each gateway now lets in a share of its RPCs: a fifth less for each that is unanswered at two thirds of its soft deadline, a twentieth more for each answer before that. Covers overload from any cause. Could hurt where a third of the servers hang: it is taken for overload.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -144,6 +144,7 @@
         self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
         self.reply = 0.0                        # usual time from an ask to its answer
         self.copies = 3.0                       # second copies that may be sent now
+        self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
         self.ready: list[int] = []
         self.crowd = 1.0                        # usual own call-outs out at a server, the one sent counted
         self.commands: list[face.Command] = []
@@ -420,7 +421,8 @@
     # ---- an RPC from top to bottom
 
     def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
-        if self._choose(rpc) is None:       # overload: refused before it costs an ask
+        # Overload: refused before it costs an ask.
+        if self._random(1000) >= 1000 * self.let_in or self._choose(rpc) is None:
             yield self._give_up(rpc)
             return
         wait = yield from self._admit(rpc)
@@ -429,7 +431,7 @@
         if wait and (plan.ceiling_rate or plan.beyond_utility <= plan.beyond_cost):
             yield face.PushBack(rpc.id, -(-wait // SECOND) * SECOND if self.birth.retry_after else 0)
             return
-        copy_at = 0
+        copy_at = slow_at = 0
         while self.now < rpc.dl:
             copy = self.birth.second_copies and self.copies >= 1 and self.now < rpc.soft
             if not rpc.out or copy and self.now >= copy_at:
@@ -440,9 +442,13 @@
                     # A second copy once two fifths of the soft deadline are gone without an answer: late
                     # enough to be rare, early enough for a copy of usual length to be in time.
                     copy_at = self.now + rpc.row.soft * 2 // 5
+                    slow_at = slow_at or self.now + int(rpc.row.soft * 0.67)
                 elif not rpc.out:
                     break
-            yield Wait(min(rpc.dl, copy_at if copy_at > self.now else rpc.dl))
+            yield Wait(min(at for at in (copy_at, slow_at, rpc.dl) if at > self.now))
+            if 0 < slow_at <= self.now:
+                slow_at = -1
+                self.let_in = max(0.02, self.let_in * 0.8)
         yield self._give_up(rpc)
 
     def _give_up(self, rpc: Rpc) -> face.Command:
@@ -567,6 +573,8 @@
             row.base = min(row.mean, row.base * 1.00025)
             self.mean_latency += (elapsed - self.mean_latency) * 0.05
             self.crowd += (crowd - self.crowd) * 0.05
+            if elapsed < row.soft * 0.67:
+                self.let_in = min(1.0, self.let_in * 1.05)
             server.pace += (elapsed / max(1.0, row.mean) * (self.crowd + 1) / (crowd + 1) - server.pace) * 0.1
             server.bad *= 0.8
             if server.trickle:      # a server set aside gets a trickle that doubles while it goes well
