--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -1,13 +1,11 @@
 """The decision module of oakfork: one gateway's judgement of every RPC.
 
 How it is called: Brain(birth, now) once, then brain.handle(now, event) for each event, in order; the answer
-is the list of commands to carry out, in order. Events and commands are the types of oakfork/interface.py;
-messages between gateways are packed by oakfork/peerwire.py. Times are whole tenths of a millisecond. Nothing
-here does I/O, reads a clock or touches global state: the same events give the same commands.
-
-Each RPC is a generator, Brain._answer, read from top to bottom. It yields Wait, Send, PushBack or Abort and
-is resumed with what came of it. The mechanism (owner, bucket, tokens, capacity, retry-after) is that of
-docs/design.md; "Exception" in a comment marks a departure from it and says when it acts.
+is the list of commands to carry out. Events and commands are the types of oakfork/interface.py; messages
+between gateways are packed by oakfork/peerwire.py. Times are whole tenths of a millisecond. No I/O, clock or
+global state here. Each RPC is a generator, Brain._answer, read from top to bottom: it yields Wait, Send,
+PushBack or Abort and is resumed with what came of it. The mechanism (owner, bucket, tokens, capacity,
+retry-after) is that of docs/design.md; "Exception" marks a departure from it and says when it acts.
 """
 import heapq
 import operator
@@ -15,16 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Callable, Generator, NamedTuple
 
-from oakfork import interface as face
-from oakfork import peerwire as wire
+from oakfork import interface as face, peerwire as wire
 from oakfork.interface import NEVER_RAN, SECOND, Repeat, State, Status
 
-MASK = (1 << 64) - 1
-
 
 class Wait(NamedTuple):
-    """Yielded by an RPC: resume me with the next thing that concerns me, or with None at this time."""
-    until: int
+    until: int      # resume me with the next thing that concerns me, or with None at this time
 
 
 class Shares(NamedTuple):
@@ -52,9 +46,8 @@
     open: dict[tuple[int, int], int] = field(default_factory=dict)  # call-out -> sent at; emptied as they end
     heard: int = 0
     pace: float = 1.0       # latency against the method's mean, for the same crowd
+    limit: float = 1e9      # own call-outs at once, learnt from late answers and refusals
     bad: float = 0.0        # recent share of call-outs that failed
-    limit: float = 1e9      # own call-outs at once, learnt from waits and from refusals
-    rests: int = 0          # how often it was set aside without coming back fully
     trickle: int = 0        # own call-outs at once while it comes back; 0: it is back
     aside_until: int = 0
     not_before: int = 0     # nothing is sent earlier: it was full
@@ -64,15 +57,13 @@
 @dataclass(slots=True)
 class Peer:
     """The link to another gateway."""
-    credited: int
+    due: float              # when the next frame would go, had all gone evenly
     life: int = 0           # 0 until it has been heard
     sent: int = 0           # number of the last frame to it
     window: wire.Window = field(default_factory=wire.Window)
     skew: int | None = None     # the least difference of clocks seen: a frame without delay
     queue: deque[bytes] = field(default_factory=deque)      # emptied by _flush
-    credit: float = 3.0     # frames that may go now
     rate: float = 0.0       # frames a tenth of a millisecond
-    armed: bool = False
     missed: int = 0         # asks in a row without a reply
     next_try: int = 0
     asks: dict[int, tuple["Rpc", int]] = field(default_factory=dict)    # emptied by answers, or after 4 s
@@ -95,7 +86,7 @@
     group: str
     remembered: int
     mean: float     # usual latency
-    base: float     # usual latency without a queue
+    pressure: float = 1.0   # usual at the servers chosen, as probes tell it
 
 
 @dataclass(slots=True)
@@ -120,11 +111,11 @@
 class Brain:
     def __init__(self, birth: face.Birth, now: int) -> None:
         self.birth, self.born, self.now = birth, now, now
-        self.chance = birth.seed & MASK
+        self.chance = birth.seed & (1 << 64) - 1
         self.life = 1 + self._random(65535)     # names this start to the others
         # An eighth of the soft deadline is a first guess only: replaced within some twenty answers.
         self.methods = [MethodRow(row.soft_deadline, row.repeat, row.group, row.remembered,
-                                  row.soft_deadline / 8, row.soft_deadline / 8) for row in birth.methods]
+                                  row.soft_deadline / 8) for row in birth.methods]
         self.shortest = min((method.soft_deadline for method in birth.methods), default=SECOND)
         self.longest = max((method.deadline for method in birth.methods), default=SECOND)
         self.servers: dict[int, Server] = {}
@@ -132,9 +123,8 @@
         self.buckets: dict[int, Bucket] = {}    # as owner; emptied by _check
         self.slices: dict[int, Bucket] = {}     # without the owner; emptied by _check
         self.refusals: dict[int, tuple[int, float]] = {}    # customer -> until, units; emptied at until
-        # Nine tenths of a gateway's intake, shared evenly by all who may write to it, is safe, but with hundreds
-        # an ask waits for seconds. Most peers say nothing most of the time, so a link starts at a quarter of
-        # the intake; an ask without a reply halves that, down to the even share, and replies bring it back.
+        # An even share of the intake makes an ask among hundreds wait seconds: a link starts at a quarter;
+        # an ask without a reply halves that, down to the even share, and replies bring it back.
         self.even = 0.9 * max(1.0, birth.mail_per_s) / SECOND / max(1, birth.gateways - 1)
         self.swift = max(self.even, birth.mail_per_s / 4 / SECOND)
         self.peers = {i: Peer(now, rate=self.swift) for i in range(birth.gateways) if i != birth.index}
@@ -146,16 +136,18 @@
         self.copies = 3.0                       # second copies that may be sent now
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
         self.ready: list[int] = []
-        self.crowd = 1.0                        # usual own call-outs out at a server, the one sent counted
+        self.quickest: dict[int, int] = {}      # zone -> the quickest probe
+        self.looks: dict[int, list[Rpc]] = {}   # server probed -> who waits; emptied by a probe's end
         self.commands: list[face.Command] = []
 
-    # ---- the door
-
     def handle(self, now: int, event: face.Event) -> list[face.Command]:
         self.now, self.commands = now, []
         match event:
             case face.Arrival():
-                self._arrive(event)
+                row = self.methods[event.method]
+                rpc = Rpc(event.rpc, event, row, now + row.soft, now + event.time_left)
+                self.rpcs[rpc.id], rpc.run = rpc, self._answer(rpc)
+                self._resume(rpc, None)
             case face.CallOutEnded():
                 self._ended(event)
             case face.ServerList():
@@ -164,6 +156,9 @@
                 self.woken = None if self.woken is None or now >= self.woken else self.woken
             case face.PeerFrame():
                 self._frame(event)
+            case face.ProbeEnded(server):
+                for looking in self.looks.pop(server, ()):
+                    self._resume(looking, event)
             case face.ClientGone(rpc) if rpc in self.rpcs:
                 self._close(self.rpcs[rpc])
             case face.StreamStarted(rpc) if rpc in self.rpcs:
@@ -181,49 +176,43 @@
         heapq.heappush(self.alarms, (max(time, self.now + 1), self.alarm_no, act, args))
 
     def _random(self, below: int) -> int:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & MASK
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
         return (self.chance >> 33) % below
 
     # ---- the mechanism: owner, bucket, ask, slice
 
     def _owner(self, ask: face.Arrival) -> tuple[int, int]:
         """The owner of a customer and the number of its gateways: its id hashed over them, sorted."""
-        gateways = sorted({(ask.first_gateway + i) % self.birth.gateways for i in range(max(1, ask.spread))})
-        mixed = ask.customer * 0x9E3779B97F4A7C15 & MASK
-        return gateways[(mixed >> 33) % len(gateways)], len(gateways)
+        total, first = self.birth.gateways, ask.first_gateway % self.birth.gateways
+        number = min(total, max(1, ask.spread))
+        past = max(0, first + number - total)   # those counted round from 0 come first
+        place = ((ask.customer * 0x9E3779B97F4A7C15 & (1 << 64) - 1) >> 33) % number
+        return place if place < past else first + place - past, number
 
     def _shares(self, plan: face.Plan, gateways: int) -> tuple[Shares, Shares]:
-        """The owner's bucket and a gateway's local slice.
-
-        Exception, where the even share is less than one request: the slice holds one, or it never says yes.
-        Exception, only under a ceiling: the slices (the owner needs none) share what it leaves over the
-        quota, if that is less, so that owner and slices together stay under it however they are split."""
+        """The owner's bucket and a gateway's local slice. Exceptions: a slice holds one request at least, or
+        it never says yes; under a ceiling the slices (the owner needs none) share what that leaves above the
+        quota, so that owner and slices together stay under it however they are split."""
         rate, burst = plan.rate, plan.burst
+        if plan.ceiling_rate and not rate:  # a ceiling alone: half for the owner, half for the slices
+            rate, burst = plan.ceiling_rate / 2, plan.ceiling_burst / 2
+        local_rate, local_burst = rate / gateways, max(burst / gateways, self.birth.most_units)
         if plan.ceiling_rate:
-            if not rate:    # a ceiling alone: half for the owner, half for the slices
-                rate, burst = plan.ceiling_rate / 2, plan.ceiling_burst / 2
             rate, burst = min(rate, plan.ceiling_rate), min(burst, plan.ceiling_burst)
             others = max(1, gateways - 1)
-            local_rate = min(rate / gateways, (plan.ceiling_rate - rate) / others)
-            least = max(burst / gateways, self.birth.most_units)
-            local_burst = min(least, (plan.ceiling_burst - burst) / others)
-        else:
-            local_rate, local_burst = rate / gateways, max(burst / gateways, self.birth.most_units)
+            local_rate = min(local_rate, (plan.ceiling_rate - rate) / others)
+            local_burst = min(local_burst, (plan.ceiling_burst - burst) / others)
         whole = Shares(rate / SECOND, burst, plan.concurrency)
         return whole, Shares(local_rate / SECOND, local_burst, -(-plan.concurrency // gateways))
 
     def _bucket(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> Bucket:
-        """The customer's bucket, refilled. Missing reads as full.
-
-        Exception, only under a ceiling: one started after us knows nothing of what was granted before, and
-        the ceiling ignores restarts; so there it reads as filled since our start, and empty at it."""
+        """The customer's bucket, refilled. Missing reads as full. Exception, only under a ceiling, which
+        ignores restarts: there it reads as filled since our start, and empty at it."""
         bucket = table.get(ask.customer)
         if bucket is None:
-            tokens = shares.capacity
-            if self.birth.plans[ask.plan].ceiling_rate:
-                tokens = min(tokens, (self.now - self.born) * shares.rate)
-            bucket = table[ask.customer] = Bucket(tokens, self.now)
-            self._at(self.now + self._fills(shares), self._check, table, ask, shares)
+            since = self.born if self.birth.plans[ask.plan].ceiling_rate else -1 << 60
+            bucket = table[ask.customer] = Bucket(0.0 if shares.rate else shares.capacity, since)
+            self._at(self.now, self._check, table, ask, shares)
         bucket.tokens = min(shares.capacity, bucket.tokens + (self.now - bucket.updated) * shares.rate)
         bucket.updated = self.now
         return bucket
@@ -242,16 +231,14 @@
             bucket.leases[holder] = self.now + self.longest
         return 0
 
-    def _fills(self, shares: Shares) -> int:
-        return int(shares.capacity / shares.rate) + 1 if shares.rate else self.longest
-
     def _check(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> None:
         """Drops a full bucket; looks again in burst / rate otherwise."""
         bucket = self._bucket(table, ask, shares)
         if bucket.tokens >= shares.capacity and all(lost <= self.now for lost in bucket.leases.values()):
             del table[ask.customer]
         else:
-            self._at(self.now + self._fills(shares), self._check, table, ask, shares)
+            fills = int(shares.capacity / shares.rate) + 1 if shares.rate else self.longest
+            self._at(self.now + fills, self._check, table, ask, shares)
 
     def _give(self, table: dict, ask: face.Arrival | wire.Return, shares: Shares, units: float) -> None:
         """Units come back (or, settled or spent by a slice, go: a bucket may fall below nothing)."""
@@ -264,31 +251,34 @@
         plan = self.birth.plans[ask.plan]
         if not (plan.rate or plan.concurrency or plan.ceiling_rate):
             return 0
+        self.serial = serial = (self.serial + 1) & 0xFFFF
         owner, gateways = self._owner(ask)
         whole, local = self._shares(plan, gateways)
         if owner == self.birth.index:
-            return self._take_here(rpc, self.buckets, whole, owner, self.life)
+            return self._take_here(rpc, Hold(self.buckets, whole, owner, self.life, serial))
         # Exception: a refusal is remembered until its retry-after: a client's retries cost no fresh ask.
         until, units = self.refusals.get(ask.customer, (0, 0.0))
         if until > self.now and ask.units >= units:
             return until - self.now
         peer = self.peers.get(owner)
-        if peer and self.birth.peers and self.birth.mail_per_s and self._worth_asking(peer):
-            self.serial = serial = (self.serial + 1) & 0xFFFF
+        # Exception: after two asks without a reply (one lost is common) the owner counts as silent (down,
+        # stalled, cut off): RPCs go straight to the slice, and one ask goes out every quarter of a second.
+        silent = peer and peer.missed >= 2 and self.now < peer.next_try
+        if peer and self.birth.peers and self.birth.mail_per_s and not silent:
+            peer.next_try = self.now + SECOND // 4
             peer.asks[serial] = rpc, self.now
             rpc.asking = serial
             self._post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
             self._at(self.now + 4 * SECOND, peer.asks.pop, serial, None)    # far past any useful answer
-            # The design page's starting value of the wait is a tenth of the soft deadline. Exception: with
-            # many gateways frames are paced thin and answers take longer; then it is twice the usual reply's
-            # time, up to a third, since an RPC judged by the slice costs more than that wait.
+            # A tenth of the soft deadline. Exception: where replies take longer, twice their usual time, up
+            # to a third, since an RPC judged by the slice costs more than that wait.
             wait = max(rpc.row.soft // 10, min(int(2 * self.reply), rpc.row.soft // 3))
             answer = yield Wait(min(rpc.dl, self.now + wait))
             rpc.asking = -1
             if isinstance(answer, wire.Answer):
                 if answer.wait:
-                    # Exception: then the slice here counts as spent as well. Guards against hundreds of slices
-                    # of one request each, granted beside the owner whenever a reply is lost.
+                    # Exception: then the slice counts as spent too. Guards against hundreds of slices of one
+                    # request each, granted beside the owner whenever a reply is lost.
                     if local.rate:
                         self._bucket(self.slices, ask, local).tokens = 0.0
                     self.refusals[ask.customer] = (self.now + answer.wait, ask.units)
@@ -298,29 +288,17 @@
                 return answer.wait
             peer.missed += 1
             peer.rate = max(self.even, peer.rate / 2)
-        wait = self._take_here(rpc, self.slices, local, owner, peer.life if peer else 0)
+        wait = self._take_here(rpc, Hold(self.slices, local, owner, peer.life if peer else 0, serial))
         if not wait and peer and peer.life:
-            # Exception: what the slice spends is told to the owner, so that it does not grant the same again
-            # beside it; a late yes still gives its own units back.
+            # Exception: what the slice spends is told to the owner, so that it does not grant the same again.
             self._post(owner, wire.Return(ask.customer, ask.plan, -ask.units))
         return wait
 
-    def _take_here(self, rpc: Rpc, table: dict, shares: Shares, owner: int, life: int) -> int:
-        self.serial = serial = (self.serial + 1) & 0xFFFF
-        wait = self._take(table, rpc.ask, shares, (self.birth.index, self.life, serial))
-        if not wait:
-            rpc.hold = Hold(table, shares, owner, life, serial)
+    def _take_here(self, rpc: Rpc, hold: Hold) -> int:
+        wait = self._take(hold.table, rpc.ask, hold.shares, (self.birth.index, self.life, hold.serial))
+        rpc.hold = None if wait else hold
         return wait
 
-    def _worth_asking(self, peer: Peer) -> bool:
-        """Exception: after two asks without a reply the owner counts as silent (down, stalled, cut off): RPCs
-        go straight to the slice; one ask goes out every quarter of a second until anything is heard. Two,
-        since a lost message is common and a third wait would cost as much as the first."""
-        if peer.missed >= 2 and self.now < peer.next_try:
-            return False
-        peer.next_try = self.now + SECOND // 4
-        return True
-
     def _give_back(self, rpc: Rpc, units: float) -> None:
         """Returns units to where they came from: not sent on, or settled for less (or, below 0, for more)."""
         hold, ask = rpc.hold, rpc.ask
@@ -340,30 +318,23 @@
         elif hold.table is None and hold.life == self.peers[hold.owner].life:
             self._post(hold.owner, wire.Release(hold.serial, customer))
 
-    # ---- messages: coalesced per peer, paced to what a gateway takes in
-
     def _post(self, to: int, item: wire.Item) -> None:
         peer = self.peers[to]
         peer.queue.append(wire.pack_item(item))
-        if not peer.armed:
-            peer.armed = True
+        if len(peer.queue) == 1:
             self._at(self.now + 1, self._flush, to)     # later in this batch's reply or in the next
 
     def _flush(self, to: int) -> None:
         peer = self.peers[to]
-        peer.armed = False
-        # A credit of three lets a few frames go at once, without passing the cap over a second.
-        peer.credit = min(3.0, peer.credit + (self.now - peer.credited) * peer.rate)
-        peer.credited = self.now
-        if peer.queue and peer.credit >= 1:
-            peer.credit -= 1
+        ahead = self.now + 2 / peer.rate    # three frames may go at once
+        if peer.queue and peer.due <= ahead:
+            peer.due = max(peer.due, self.now) + 1 / peer.rate
             peer.sent = (peer.sent + 1) & 0xFFFF
             clock = self.now // 10 & 0xFFFF
             data = wire.pack(self.life, peer.life, peer.sent, clock, wire.fill(peer.queue))
             self.commands.append(face.Tell(to, data))
         if peer.queue:
-            peer.armed = True
-            self._at(self.now + int((1 - peer.credit) / peer.rate), self._flush, to)
+            self._at(self.now + int(peer.due - ahead) + 1, self._flush, to)
 
     def _frame(self, event: face.PeerFrame) -> None:
         frame, peer = wire.unpack(event.data), self.peers.get(event.sender)
@@ -373,14 +344,11 @@
             if peer.life:
                 peer.asks.clear()
                 peer.queue.clear()
-                for bucket in self.buckets.values():
-                    for held in [held for held in bucket.leases if held[0] == event.sender]:
-                        del bucket.leases[held]
             peer.life, peer.window, peer.skew = frame.life, wire.Window(), None
         if not peer.window.fresh(frame.number):
             return
-        # Exception: asks of a backlog that a stalled gateway or link lets through late are skipped; the delay
-        # of a frame is told against the least seen from that peer, and 300 ms is above any paced wait.
+        # Exception: asks of a stale backlog are skipped. A frame's delay is told against the least seen from
+        # that peer; 300 ms is above any useful wait.
         delay = (self.now // 10 - frame.clock) & 0xFFFF
         if peer.skew is None or (delay - peer.skew + 0x8000 & 0xFFFF) < 0x8000:
             peer.skew = delay
@@ -421,51 +389,44 @@
     # ---- an RPC from top to bottom
 
     def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
-        # Overload: refused before it costs an ask.
-        if self._random(1000) >= 1000 * self.let_in or self._choose(rpc) is None:
-            yield self._give_up(rpc)
+        row = rpc.row
+        if self._random(1000) >= 1000 * self.let_in or not self._choose(rpc):
+            self.let_in = min(1.0, self.let_in * 1.01)
+            yield self._give_up(rpc)    # overload: refused before it costs an ask
             return
         wait = yield from self._admit(rpc)
-        plan = self.birth.plans[rpc.ask.plan]
-        # Beyond the quota an RPC goes on only where the plan says that this earns more than it costs.
+        plan = self.birth.plans[rpc.ask.plan]   # beyond the quota only where it says that this earns more
         if wait and (plan.ceiling_rate or plan.beyond_utility <= plan.beyond_cost):
             yield face.PushBack(rpc.id, -(-wait // SECOND) * SECOND if self.birth.retry_after else 0)
             return
-        copy_at = slow_at = 0
+        copy_at, slow, server = 0, False, None
         while self.now < rpc.dl:
             copy = self.birth.second_copies and self.copies >= 1 and self.now < rpc.soft
             if not rpc.out or copy and self.now >= copy_at:
-                server = self._choose(rpc)
-                if server is not None:
+                chosen = yield from self._look(rpc)
+                if chosen is not None:
                     self.copies -= 1 if rpc.out else 0
-                    yield face.Send(rpc.id, server, 0)
-                    # A second copy once two fifths of the soft deadline are gone without an answer: late
-                    # enough to be rare, early enough for a copy of usual length to be in time.
-                    copy_at = self.now + rpc.row.soft * 2 // 5
-                    slow_at = slow_at or self.now + int(rpc.row.soft * 0.67)
+                    yield face.Send(rpc.id, chosen, 0)
+                    server = self.servers[chosen]
+                    # A second copy once two fifths of the soft deadline are gone: late enough to be rare,
+                    # early enough for a copy of usual length to be in time.
+                    copy_at = self.now + row.soft * 2 // 5
                 elif not rpc.out:
                     break
-            yield Wait(min(at for at in (copy_at, slow_at, rpc.dl) if at > self.now))
-            if 0 < slow_at <= self.now:
-                slow_at = -1
-                self.let_in = max(0.02, self.let_in * 0.8)
+            yield Wait(copy_at if copy_at > self.now else rpc.dl)
+            if not slow and self.now >= copy_at and len(server.open) == 1:
+                # Guards against queues of work that no longer counts, where gateways are so many that none
+                # fills a server. Held where two lone call-outs of seven are late.
+                slow, self.let_in = True, max(0.02, self.let_in * 0.7)
         yield self._give_up(rpc)
 
     def _give_up(self, rpc: Rpc) -> face.Command:
         """A pushback says that a further try is harmless; an abort promises nothing."""
-        row = rpc.row
-        dropped = row.repeat == Repeat.DEDUPLICATED and row.group == "all"
-        if not rpc.maybe or dropped or row.repeat == Repeat.IDEMPOTENT:
+        repeat, group = rpc.row.repeat, rpc.row.group
+        if not rpc.maybe or repeat == Repeat.IDEMPOTENT or repeat == Repeat.DEDUPLICATED and group == "all":
             return face.PushBack(rpc.id, SECOND if self.birth.retry_after else 0)
         return face.Abort(rpc.id)
 
-    def _arrive(self, arrival: face.Arrival) -> None:
-        row = self.methods[arrival.method]
-        rpc = Rpc(arrival.rpc, arrival, row, self.now + row.soft, self.now + arrival.time_left)
-        self.rpcs[rpc.id] = rpc
-        rpc.run = self._answer(rpc)
-        self._resume(rpc, None)
-
     def _resume(self, rpc: Rpc, value: object, step: int | None = None) -> None:
         """Goes on with an RPC; an alarm names the step it was set in."""
         while not rpc.over and (step is None or step == rpc.step and not rpc.streaming):
@@ -476,21 +437,15 @@
                 self._at(command.until, self._resume, rpc, None, rpc.step)
                 return
             self.commands.append(command)
-            if isinstance(command, face.Send):
-                value = self._sent(rpc, command.server)
-            else:
+            if not isinstance(command, face.Send):
                 self._close(rpc)
-
-    def _sent(self, rpc: Rpc, index: int) -> int:
-        server, number = self.servers[index], rpc.sent
-        rpc.out[number] = index
-        rpc.maybe[number] = (index, self.now)
-        rpc.sent += 1
-        server.open[rpc.id, number] = self.now
-        # A twentieth of the call-outs may be second copies: too little to weigh on an overloaded fleet.
-        self.copies = min(3.0, self.copies + 0.05)
-        server.sent_at = self.now
-        return number
+                return
+            server = self.servers[command.server]
+            rpc.out[rpc.sent], rpc.maybe[rpc.sent] = command.server, (command.server, self.now)
+            server.open[rpc.id, rpc.sent] = server.sent_at = self.now
+            rpc.sent += 1
+            # A twentieth of the call-outs may be second copies: too little to weigh on an overloaded fleet.
+            self.copies = min(3.0, self.copies + 0.05)
 
     def _ended(self, event: face.CallOutEnded) -> None:
         server = self.servers[event.server]
@@ -523,25 +478,21 @@
             self._release(rpc)
             del self.rpcs[rpc.id]
 
-    # ---- servers: list, what is seen of them, choice
-
     def _list(self, event: face.ServerList) -> None:
         if self.birth.asks_list and (event.failed or not self.servers):     # on a failure, and at the start
             self.commands.append(face.Subscribe())
         if event.failed:
             return
-        listed = {entry.server for entry in event.entries}
         for entry in event.entries:
             server = self.servers.get(entry.server)
             if server is None or entry.up_since != server.since:    # another process: nothing learnt holds
                 server = Server(entry.up_since, open=server.open if server else {})
                 self.servers[entry.server] = server
-                if (limit := self._limit(server)) < 1:      # or all gateways would send to it at once
-                    server.sent_at = self.now - self._random(int(self.mean_latency / limit))
+                if pause := self._pause(server):    # or all gateways would send to it at once
+                    server.sent_at = self.now - self._random(pause)
             server.zone, server.cell, server.state = entry.zone, entry.cell, entry.state
-        for index, server in self.servers.items():
-            if event.complete and index not in listed:
-                server.state = State.GONE
+        for index in event.complete and self.servers.keys() - {entry.server for entry in event.entries} or ():
+            self.servers[index].state = State.GONE
         self.ready = [index for index, server in sorted(self.servers.items()) if server.state == State.READY]
 
     def _ramp(self, server: Server, at: int) -> float:
@@ -552,96 +503,112 @@
         return self.birth.cold_share + (1 - self.birth.cold_share) * max(0, age) / self.birth.cold_time
 
     def _judge(self, server: Server, row: MethodRow, status: Status, elapsed: int) -> None:
-        crowd = len(server.open) + 1
-        # Guards against a queue that nobody's answers leave in time (overload, a jam after a stall, work done
-        # for clients that have gone, servers slowed by what they hold): one queue serves all methods, so a
-        # wait of over a fifth of the shortest soft deadline takes a fifth off what we keep out there.
-        waited = elapsed - 2 * row.base > self.shortest // 5
-        if status == Status.FULL or waited and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
-            server.limit = max(0.1, min(server.limit, crowd) * 0.8)
+        late = elapsed > row.soft * 2 // 5
+        # Guards against a queue that nobody's answers leave in time, filled by what we keep out there.
+        if status == Status.FULL or late and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
+            server.limit = max(1.0, min(server.limit, len(server.open) + 1) * 0.8)
         elif status == Status.OK:
             # All gateways' limits add up: over the square of their number, growth settles at the same sum.
-            more = min(4 / self.birth.gateways ** 2 / server.limit, server.limit / 2)
-            server.limit = min(server.limit + more, 2.0 * crowd + 6)
+            server.limit += min(4 / self.birth.gateways ** 2 / server.limit, server.limit / 2)
+            self.let_in = min(1.0, self.let_in * 1.15)
         if status != Status.CANCELLED:
             server.heard = self.now
         if status == Status.OK:
-            # An answer tells the method's usual latency and how this server compares, over some ten answers.
-            row.mean += (elapsed - row.mean) * 0.05
-            # The lowest that the mean has been; it follows a real change slowly, by half in 1,600 answers, so
-            # that a standing queue does not come to look usual.
-            row.base = min(row.mean, row.base * 1.00025)
+            row.mean += (elapsed - row.mean) * 0.05     # over some twenty answers
             self.mean_latency += (elapsed - self.mean_latency) * 0.05
-            self.crowd += (crowd - self.crowd) * 0.05
-            if elapsed < row.soft * 0.67:
-                self.let_in = min(1.0, self.let_in * 1.05)
-            server.pace += (elapsed / max(1.0, row.mean) * (self.crowd + 1) / (crowd + 1) - server.pace) * 0.1
+            server.pace += (elapsed / max(1.0, row.mean) - server.pace) * 0.1
             server.bad *= 0.8
             if server.trickle:      # a server set aside gets a trickle that doubles while it goes well
                 server.trickle = server.trickle * 2 if server.trickle < 16 else 0
-                server.rests = server.rests if server.trickle else 0
         elif status == Status.FULL:     # not ill, but it takes no more for about the time of one answer
-            server.not_before = self.now + int(row.base)
+            server.not_before = self.now + int(row.mean)
         elif status != Status.CANCELLED:
             # Guards against fast errors, lost connections, dead processes, hangs: all failures count alike.
-            # Two in a row, or a third of the recent ones, set a server aside: 1 s, then 2, 4, 8.
+            # Two in a row, or a third of the recent ones, set a server aside for a second.
             server.bad += (1 - server.bad) * 0.2
             if self.now >= server.aside_until and (server.bad > 0.3 or server.trickle):
-                server.aside_until = self.now + (SECOND << min(3, server.rests))
-                server.rests, server.trickle, server.bad = server.rests + 1, 1, 0.0
-
-    def _expected(self, server: Server, row: MethodRow) -> float:
-        """The latency to expect: the method's usual one, as this server compares, for the crowd there."""
-        return row.mean * server.pace * (len(server.open) + 2) / ((self.crowd + 1) * self._ramp(server, self.now))
-
-    def _rank(self, server: Server, row: MethodRow) -> float:
-        # Recent failures weigh up to five times: failing fast must not look quick. An eighth of chance keeps
-        # gateways that see the same from choosing the same.
-        return self._expected(server, row) * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
-
-    def _limit(self, server: Server) -> float:
-        """Own call-outs at once; under one it is a share of the time: with many gateways one call-out of each
-        is a queue already. A cold server gets, from all gateways together, its ramp's part of
-        fall-multiple call-outs: guards against pushing it over, however little is known of what it can do."""
+                server.aside_until, server.trickle, server.bad = self.now + SECOND, 1, 0.0
+
+    def _rank(self, server: Server) -> float:
+        # Recent failures weigh up to five times: failing fast must not look quick. An eighth is chance.
+        slow = server.pace * (len(server.open) + 2) / self._ramp(server, self.now)
+        return slow * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
+
+    def _pause(self, server: Server) -> int:
+        """The time between own call-outs to a cold server: from all gateways together it gets its ramp's part
+        of fall-multiple call-outs at once. Guards against pushing it over."""
         if (ramp := self._ramp(server, self.now)) == 1:
-            return server.limit
+            return 0
         ramp = (ramp + self._ramp(server, server.sent_at)) / 2      # its mean since the last call-out
-        return min(server.limit, self.birth.fall_multiple * ramp / self.birth.gateways)
+        return int(self.mean_latency * self.birth.gateways / (self.birth.fall_multiple * ramp))
 
     def _room(self, server: Server) -> bool:
-        limit = self._limit(server)
-        spaced = limit >= 1 or (self.now - server.sent_at) * limit >= self.mean_latency
-        return spaced and self.now >= server.not_before and len(server.open) < max(1.0, limit)
+        free = len(server.open) < server.limit
+        return free and self.now >= max(server.not_before, server.sent_at + self._pause(server))
 
     def _fit(self, server: Server) -> bool:
-        """Not set aside, not silent. Guards against what answers nothing (hangs, cuts, pauses, very slow
-        servers): something has been out for four usual latencies and nothing was heard meanwhile."""
+        """Not set aside, not silent for four usual latencies with something out (hangs, cuts, pauses)."""
         if self.now < server.aside_until or server.trickle and len(server.open) >= server.trickle:
             return False
         first = next(iter(server.open.values()), self.now)
         return self.now - max(first, server.heard) < 4 * self.mean_latency
 
-    def _choose(self, rpc: Rpc) -> int | None:
-        row = rpc.row
-        allowed = [index for index in self.ready if index not in rpc.out.values()]
-        if rpc.sent >= self.birth.max_call_outs or rpc.maybe and row.repeat == Repeat.NON_IDEMPOTENT:
-            return None
-        if rpc.maybe and row.repeat == Repeat.DEDUPLICATED:
-            first, sent_at = next(iter(rpc.maybe.values()))
-            if self.now >= sent_at + row.remembered:
-                return None
-            if row.group != "all":
-                group = operator.attrgetter(row.group)      # zone or cell
-                allowed = [i for i in allowed if group(self.servers[i]) == group(self.servers[first])]
+    def _may(self, rpc: Rpc, index: int) -> bool:
+        """Whether the rules let this RPC have one more call-out, to this server."""
+        row, server = rpc.row, self.servers[index]
+        if server.state != State.READY or index in rpc.out.values() or rpc.sent >= self.birth.max_call_outs:
+            return False
+        if not rpc.maybe or row.repeat == Repeat.IDEMPOTENT:
+            return True
+        first, sent_at = next(iter(rpc.maybe.values()))
+        if row.repeat == Repeat.NON_IDEMPOTENT or self.now >= sent_at + row.remembered:
+            return False
+        group = operator.attrgetter(row.group) if row.group != "all" else bool      # zone or cell
+        return group(server) == group(self.servers[first])
+
+    def _choose(self, rpc: Rpc) -> list[int]:
+        """The two best servers for it, if there are any. Of a large fleet sixteen in a row are ranked,
+        from a place drawn by chance: the cost of an RPC doesn't grow with the fleet."""
+        pool, size = self.ready, len(self.ready)
+        if size > 16 and not rpc.maybe:
+            first = self._random(size)
+            pool = pool[first:first + 16] + pool[:max(0, first + 16 - size)]
+        allowed = [index for index in pool if self._may(rpc, index)]
         well = [index for index in allowed if self._fit(self.servers[index])]
-        # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used. Told by
-        # health alone: where servers are merely at their limits, the ill ones must not get what is left.
+        # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used.
         well = well if 2 * len(well) >= len(allowed) else allowed
-        if not (fit := [index for index in well if self._room(self.servers[index])]):
-            return None
-        best = self.servers[chosen := min(fit, key=lambda index: self._rank(self.servers[index], row))]
-        # What can't make its soft deadline, or its client's if sooner, is shed; but not on the word of old
-        # answers alone, where we have nothing out: a fleet once slow would otherwise be refused for good.
-        late = best.open and self._expected(best, row) > min(rpc.soft, rpc.dl) - self.now
-        crowded = rpc.out and len(best.open) + 1 > self.crowd   # no room for second copies
-        return None if late or crowded else chosen
+        fit = [index for index in well if self._room(self.servers[index])]
+        return sorted(fit, key=lambda index: self._rank(self.servers[index]))[:2]
+
+    def _look(self, rpc: Rpc) -> Generator[Wait, object, int | None]:
+        """Probes the best two where either was not heard for a second, two more while what it saw is too slow
+        or silent, and takes the one under the least pressure. Guards against what a gateway that sees a
+        server seldom can't know: queues, hangs, pauses, slow servers, overload by hundreds of gateways."""
+        row, seen, asked = rpc.row, {}, []
+        for _ in range(3):
+            picks = self._choose(rpc)
+            if not self.birth.probing or not asked and all(
+                    self.now - self.servers[index].heard < SECOND for index in picks):
+                return next(iter(picks), None)
+            for index in picks:
+                if index not in asked:
+                    asked.append(index)
+                    self.looks.setdefault(index, []).append(rpc)
+                    self.commands.append(face.Probe(index))
+            until = min(rpc.dl, self.now + max(1, self.shortest // 15))
+            while self.now < until and len(seen) < len(asked):
+                probe = yield Wait(until)
+                if isinstance(probe, face.ProbeEnded) and probe.server in asked and probe.status == Status.OK:
+                    # What it reports to hold, or how long the probe took beyond the quickest in its zone.
+                    zone = self.servers[probe.server].zone
+                    self.quickest[zone] = min(self.quickest.get(zone, SECOND), probe.elapsed)
+                    seen[probe.server] = probe.load[0] if probe.load else probe.elapsed - self.quickest[zone]
+            for index in sorted(seen, key=seen.get):
+                # Latency goes with pressure; four stands for the probe's own work, or for the cores. Over two
+                # fifths of the time left a server is near the point where it holds too much to be quick.
+                slow = row.mean * (seen[index] + 4) / (row.pressure + 4)
+                fits = slow < 0.4 * (min(rpc.soft, rpc.dl) - self.now)
+                if fits and self._may(rpc, index) and self._room(self.servers[index]):
+                    row.pressure += (seen[index] - row.pressure) * 0.05
+                    return index
+        return None
