--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -46,6 +46,7 @@
     open: dict[tuple[int, int], int] = field(default_factory=dict)  # call-out -> sent at; emptied as they end
     heard: int = 0
     pace: float = 1.0       # latency against the method's mean, for the same crowd
+    mute: dict[int, int] = field(default_factory=dict)  # method that failed there -> until
     limit: float = 1e9      # own call-outs at once, learnt from late answers and refusals
     bad: float = 0.0        # recent share of call-outs that failed
     trickle: int = 0        # own call-outs at once while it comes back; 0: it is back
@@ -133,7 +134,6 @@
         self.woken: int | None = None
         self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
         self.reply = 0.0                        # usual time from an ask to its answer
-        self.copies = 3.0                       # second copies that may be sent now
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
         self.ready: list[int] = []
         self.quickest: dict[int, int] = {}      # zone -> the quickest probe
@@ -179,8 +179,6 @@
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
         return (self.chance >> 33) % below
 
-    # ---- the mechanism: owner, bucket, ask, slice
-
     def _owner(self, ask: face.Arrival) -> tuple[int, int]:
         """The owner of a customer and the number of its gateways: its id hashed over them, sorted."""
         total, first = self.birth.gateways, ask.first_gateway % self.birth.gateways
@@ -286,8 +284,7 @@
                 else:
                     rpc.hold = Hold(None, whole, owner, peer.life, serial)
                 return answer.wait
-            peer.missed += 1
-            peer.rate = max(self.even, peer.rate / 2)
+            peer.missed, peer.rate = peer.missed + 1, max(self.even, peer.rate / 2)
         wait = self._take_here(rpc, Hold(self.slices, local, owner, peer.life if peer else 0, serial))
         if not wait and peer and peer.life:
             # Exception: what the slice spends is told to the owner, so that it does not grant the same again.
@@ -401,15 +398,13 @@
             return
         copy_at, slow, server = 0, False, None
         while self.now < rpc.dl:
-            copy = self.birth.second_copies and self.copies >= 1 and self.now < rpc.soft
+            copy = self.birth.second_copies and self.birth.probing and self.now < rpc.soft
             if not rpc.out or copy and self.now >= copy_at:
                 chosen = yield from self._look(rpc)
                 if chosen is not None:
-                    self.copies -= 1 if rpc.out else 0
                     yield face.Send(rpc.id, chosen, 0)
                     server = self.servers[chosen]
-                    # A second copy once two fifths of the soft deadline are gone: late enough to be rare,
-                    # early enough for a copy of usual length to be in time.
+                    # A second copy after two fifths of the soft deadline: one of usual length is in time.
                     copy_at = self.now + row.soft * 2 // 5
                 elif not rpc.out:
                     break
@@ -444,8 +439,6 @@
             rpc.out[rpc.sent], rpc.maybe[rpc.sent] = command.server, (command.server, self.now)
             server.open[rpc.id, rpc.sent] = server.sent_at = self.now
             rpc.sent += 1
-            # A twentieth of the call-outs may be second copies: too little to weigh on an overloaded fleet.
-            self.copies = min(3.0, self.copies + 0.05)
 
     def _ended(self, event: face.CallOutEnded) -> None:
         server = self.servers[event.server]
@@ -455,7 +448,7 @@
             return
         rpc.out.pop(event.call_out, None)
         if event.status != Status.MOOT:
-            self._judge(server, rpc.row, event.status, self.now - sent_at)
+            self._judge(server, rpc.ask.method, event.status, self.now - sent_at)
         if event.status in NEVER_RAN:
             rpc.maybe.pop(event.call_out, None)
         if event.status == Status.OK and event.true_units and self.birth.settles:
@@ -502,10 +495,11 @@
             return 1.0
         return self.birth.cold_share + (1 - self.birth.cold_share) * max(0, age) / self.birth.cold_time
 
-    def _judge(self, server: Server, row: MethodRow, status: Status, elapsed: int) -> None:
+    def _judge(self, server: Server, method: int, status: Status, elapsed: int) -> None:
+        row, seldom = self.methods[method], self.now - server.heard > SECOND
         late = elapsed > row.soft * 2 // 5
-        # Guards against a queue that nobody's answers leave in time, filled by what we keep out there.
         if status == Status.FULL or late and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
+            # Guards against a queue that nobody's answers leave in time, filled by what we keep out there.
             server.limit = max(1.0, min(server.limit, len(server.open) + 1) * 0.8)
         elif status == Status.OK:
             # All gateways' limits add up: over the square of their number, growth settles at the same sum.
@@ -522,10 +516,13 @@
                 server.trickle = server.trickle * 2 if server.trickle < 16 else 0
         elif status == Status.FULL:     # not ill, but it takes no more for about the time of one answer
             server.not_before = self.now + int(row.mean)
-        elif status != Status.CANCELLED:
-            # Guards against fast errors, lost connections, dead processes, hangs: all failures count alike.
-            # Two in a row, or a third of the recent ones, set a server aside for a second.
-            server.bad += (1 - server.bad) * 0.2
+        elif status != Status.CANCELLED or late:
+            # Guards against methods that fail or go unanswered at a server, whatever it does for others, and
+            # against failures that a gateway meets too seldom to meet two: eight seconds, a usual trouble.
+            if seldom:
+                server.mute[method] = self.now + 8 * SECOND
+            # Two failures in a row, or a third of the recent call-outs, set a server aside for a second.
+            server.bad += (1 - server.bad) * 0.2 * (status != Status.CANCELLED)
             if self.now >= server.aside_until and (server.bad > 0.3 or server.trickle):
                 server.aside_until, server.trickle, server.bad = self.now + SECOND, 1, 0.0
 
@@ -546,9 +543,10 @@
         free = len(server.open) < server.limit
         return free and self.now >= max(server.not_before, server.sent_at + self._pause(server))
 
-    def _fit(self, server: Server) -> bool:
+    def _fit(self, server: Server, method: int) -> bool:
         """Not set aside, not silent for four usual latencies with something out (hangs, cuts, pauses)."""
-        if self.now < server.aside_until or server.trickle and len(server.open) >= server.trickle:
+        mute_until = max(server.aside_until, server.mute.get(method, 0))
+        if self.now < mute_until or server.trickle and len(server.open) >= server.trickle:
             return False
         first = next(iter(server.open.values()), self.now)
         return self.now - max(first, server.heard) < 4 * self.mean_latency
@@ -574,9 +572,9 @@
             first = self._random(size)
             pool = pool[first:first + 16] + pool[:max(0, first + 16 - size)]
         allowed = [index for index in pool if self._may(rpc, index)]
-        well = [index for index in allowed if self._fit(self.servers[index])]
-        # Most of a fleet ill at once has a common cause: then nobody is blamed, and all are used.
-        well = well if 2 * len(well) >= len(allowed) else allowed
+        well = [index for index in allowed if self._fit(self.servers[index], rpc.ask.method)]
+        # Two thirds of a fleet ill at once have a common cause: then nobody is blamed, and all are used.
+        well = well if 3 * len(well) >= len(allowed) else allowed
         fit = [index for index in well if self._room(self.servers[index])]
         return sorted(fit, key=lambda index: self._rank(self.servers[index]))[:2]
 
@@ -587,7 +585,7 @@
         row, seen, asked = rpc.row, {}, []
         for _ in range(3):
             picks = self._choose(rpc)
-            if not self.birth.probing or not asked and all(
+            if not self.birth.probing or not asked and not rpc.out and all(
                     self.now - self.servers[index].heard < SECOND for index in picks):
                 return next(iter(picks), None)
             for index in picks:
@@ -608,6 +606,7 @@
                 # fifths of the time left a server is near the point where it holds too much to be quick.
                 slow = row.mean * (seen[index] + 4) / (row.pressure + 4)
                 fits = slow < 0.4 * (min(rpc.soft, rpc.dl) - self.now)
+                fits = fits and (not rpc.out or seen[index] <= row.pressure)    # a copy: where less is held
                 if fits and self._may(rpc, index) and self._room(self.servers[index]):
                     row.pressure += (seen[index] - row.pressure) * 0.05
                     return index
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -331,3 +331,18 @@
         commands = [c for server in probed for c in brain.handle(now, face.ProbeEnded(server, Status.OK, 9, (400.0,)))]
         commands += brain.handle(now, face.TimeCame(0))
     assert face.PushBack in kinds(commands) and now < 52_000
+
+
+def test_a_method_that_fails_at_a_seldom_seen_server_is_kept_from_it_and_others_are_not():
+    for status in (Status.ERROR, Status.TIMED_OUT, Status.CANCELLED):   # cancelled late: another answered first
+        brain = gateway()
+        server, brain.now = brain.servers[0], 50 * SECOND
+        brain._judge(server, 1, status, METHODS[1].soft_deadline)
+        assert brain._fit(server, 0) and not brain._fit(server, 1)
+        brain.handle(51 * SECOND, arrival(1, 1, method=1))
+        assert brain.rpcs[1].out[0] != 0
+        brain.now = 59 * SECOND
+        assert brain._fit(server, 1)
+        server.heard, server.bad = brain.now, 0.0
+        brain._judge(server, 2, status, METHODS[2].soft_deadline)   # often seen: one failure is not enough
+        assert brain._fit(server, 2)
