Asks are repeated where the slice can't judge; looks only in trouble

There the ask goes out up to three times, and the owner takes its units once. The share let in may stand a little over one, so that one late answer refuses nobody. Could hurt owners at their intake's limit, who get repeats on top; their links are paced down.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -106,7 +106,6 @@
     asking: int = -1
     hold: Hold | None = None
     over: bool = False
-    streaming: bool = False
 
 
 class Brain:
@@ -123,6 +122,7 @@
         self.rpcs: dict[int, Rpc] = {}          # emptied as RPCs end
         self.buckets: dict[int, Bucket] = {}    # as owner; emptied by _check
         self.slices: dict[int, Bucket] = {}     # without the owner; emptied by _check
+        self.answers: dict[tuple[int, int, int], int] = {}  # ask -> wait; emptied after 4 s
         self.refusals: dict[int, tuple[int, float]] = {}    # customer -> until, units; emptied at until
         # An even share of the intake makes an ask among hundreds wait seconds: a link starts at a quarter;
         # an ask without a reply halves that, down to the even share, and replies bring it back.
@@ -134,6 +134,7 @@
         self.woken: int | None = None
         self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
         self.reply = 0.0                        # usual time from an ask to its answer
+        self.trouble = 0.1                      # recent share of call-outs late or failed
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
         self.ready: list[int] = []
         self.quickest: dict[int, int] = {}      # zone -> the quickest probe
@@ -162,7 +163,7 @@
             case face.ClientGone(rpc) if rpc in self.rpcs:
                 self._close(self.rpcs[rpc])
             case face.StreamStarted(rpc) if rpc in self.rpcs:
-                self.rpcs[rpc].streaming = True
+                self.rpcs[rpc].step += 1    # no alarm wakes it any more
         while self.alarms and self.alarms[0][0] <= now:
             _, _, act, args = heapq.heappop(self.alarms)
             act(*args)
@@ -239,7 +240,6 @@
             self._at(self.now + fills, self._check, table, ask, shares)
 
     def _give(self, table: dict, ask: face.Arrival | wire.Return, shares: Shares, units: float) -> None:
-        """Units come back (or, settled or spent by a slice, go: a bucket may fall below nothing)."""
         bucket = self._bucket(table, ask, shares)
         bucket.tokens = min(shares.capacity, bucket.tokens + units)
 
@@ -266,12 +266,16 @@
             peer.next_try = self.now + SECOND // 4
             peer.asks[serial] = rpc, self.now
             rpc.asking = serial
-            self._post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
             self._at(self.now + 4 * SECOND, peer.asks.pop, serial, None)    # far past any useful answer
-            # A tenth of the soft deadline. Exception: where replies take longer, twice their usual time, up
-            # to a third, since an RPC judged by the slice costs more than that wait.
-            wait = max(rpc.row.soft // 10, min(int(2 * self.reply), rpc.row.soft // 3))
-            answer = yield Wait(min(rpc.dl, self.now + wait))
+            # A tenth of the soft deadline. Exceptions: where replies take longer, twice their usual time, up
+            # to a third; where the slice has spent or has a ceiling's part only, it asks up to three times.
+            tries = 3 if plan.ceiling_rate or ask.customer in self.slices else 1
+            wait = max(rpc.row.soft // 10, min(int(2 * self.reply), rpc.row.soft // (3 * tries)))
+            for _ in range(tries):
+                self._post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
+                answer = yield Wait(min(rpc.dl, self.now + wait))
+                if isinstance(answer, wire.Answer):
+                    break
             rpc.asking = -1
             if isinstance(answer, wire.Answer):
                 if answer.wait:
@@ -344,8 +348,7 @@
             peer.life, peer.window, peer.skew = frame.life, wire.Window(), None
         if not peer.window.fresh(frame.number):
             return
-        # Exception: asks of a stale backlog are skipped. A frame's delay is told against the least seen from
-        # that peer; 300 ms is above any useful wait.
+        # Exception: asks of a stale backlog are skipped: 300 ms above the least delay seen from that peer.
         delay = (self.now // 10 - frame.clock) & 0xFFFF
         if peer.skew is None or (delay - peer.skew + 0x8000 & 0xFFFF) < 0x8000:
             peer.skew = delay
@@ -359,8 +362,11 @@
                 shares = self._shares(self.birth.plans[item.plan], 1)[0]
             if isinstance(item, wire.Ask):
                 if not stale:
-                    wait = self._take(self.buckets, item, shares, (event.sender, frame.life, item.serial))
-                    self._post(event.sender, wire.Answer(item.serial, wait))
+                    asked = (event.sender, frame.life, item.serial)
+                    if asked not in self.answers:   # repeated, it takes nothing again
+                        self.answers[asked] = self._take(self.buckets, item, shares, asked)
+                        self._at(self.now + 4 * SECOND, self.answers.pop, asked, None)
+                    self._post(event.sender, wire.Answer(item.serial, self.answers[asked]))
             elif frame.to_life != self.life:
                 continue    # meant for the life before a restart
             elif isinstance(item, wire.Answer):
@@ -383,12 +389,10 @@
             if self.birth.plans[rpc.ask.plan].concurrency:
                 self._post(sender, wire.Release(answer.serial, rpc.ask.customer))
 
-    # ---- an RPC from top to bottom
-
     def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
         row = rpc.row
         if self._random(1000) >= 1000 * self.let_in or not self._choose(rpc):
-            self.let_in = min(1.0, self.let_in * 1.01)
+            self.let_in = min(1.15, self.let_in * 1.01)
             yield self._give_up(rpc)    # overload: refused before it costs an ask
             return
         wait = yield from self._admit(rpc)
@@ -424,7 +428,7 @@
 
     def _resume(self, rpc: Rpc, value: object, step: int | None = None) -> None:
         """Goes on with an RPC; an alarm names the step it was set in."""
-        while not rpc.over and (step is None or step == rpc.step and not rpc.streaming):
+        while not rpc.over and step in (None, rpc.step):
             step = None
             rpc.step += 1
             command = rpc.run.send(value)
@@ -488,23 +492,17 @@
             self.servers[index].state = State.GONE
         self.ready = [index for index, server in sorted(self.servers.items()) if server.state == State.READY]
 
-    def _ramp(self, server: Server, at: int) -> float:
-        """The part of its work that a server does for certain: cold-share at its start, all in cold-time."""
-        age = at - server.since
-        if not server.since or age >= self.birth.cold_time:
-            return 1.0
-        return self.birth.cold_share + (1 - self.birth.cold_share) * max(0, age) / self.birth.cold_time
-
     def _judge(self, server: Server, method: int, status: Status, elapsed: int) -> None:
         row, seldom = self.methods[method], self.now - server.heard > SECOND
         late = elapsed > row.soft * 2 // 5
+        self.trouble += ((late or status not in (Status.OK, Status.CANCELLED)) - self.trouble) * 0.05
         if status == Status.FULL or late and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
             # Guards against a queue that nobody's answers leave in time, filled by what we keep out there.
             server.limit = max(1.0, min(server.limit, len(server.open) + 1) * 0.8)
         elif status == Status.OK:
             # All gateways' limits add up: over the square of their number, growth settles at the same sum.
             server.limit += min(4 / self.birth.gateways ** 2 / server.limit, server.limit / 2)
-            self.let_in = min(1.0, self.let_in * 1.15)
+            self.let_in = min(1.15, self.let_in * 1.15)
         if status != Status.CANCELLED:
             server.heard = self.now
         if status == Status.OK:
@@ -521,27 +519,28 @@
             # against failures that a gateway meets too seldom to meet two: eight seconds, a usual trouble.
             if seldom:
                 server.mute[method] = self.now + 8 * SECOND
-            # Two failures in a row, or a third of the recent call-outs, set a server aside for a second.
+            # Two failures in a row, or a third of recent call-outs, set a server aside for a second.
             server.bad += (1 - server.bad) * 0.2 * (status != Status.CANCELLED)
             if self.now >= server.aside_until and (server.bad > 0.3 or server.trickle):
                 server.aside_until, server.trickle, server.bad = self.now + SECOND, 1, 0.0
 
     def _rank(self, server: Server) -> float:
         # Recent failures weigh up to five times: failing fast must not look quick. An eighth is chance.
-        slow = server.pace * (len(server.open) + 2) / self._ramp(server, self.now)
-        return slow * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
+        return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
 
     def _pause(self, server: Server) -> int:
-        """The time between own call-outs to a cold server: from all gateways together it gets its ramp's part
-        of fall-multiple call-outs at once. Guards against pushing it over."""
-        if (ramp := self._ramp(server, self.now)) == 1:
+        """The time between own call-outs to a cold server: all gateways together send what it can do for
+        certain (the ramp, its mean since the last) of fall-multiple. Guards against pushing it over."""
+        if not server.since or self.now >= server.since + self.birth.cold_time:
             return 0
-        ramp = (ramp + self._ramp(server, server.sent_at)) / 2      # its mean since the last call-out
+        ages = max(0, self.now - server.since) + max(0, server.sent_at - server.since)
+        ramp = self.birth.cold_share + (1 - self.birth.cold_share) * ages / 2 / self.birth.cold_time
         return int(self.mean_latency * self.birth.gateways / (self.birth.fall_multiple * ramp))
 
     def _room(self, server: Server) -> bool:
-        free = len(server.open) < server.limit
-        return free and self.now >= max(server.not_before, server.sent_at + self._pause(server))
+        pause = self._pause(server)     # a cold one holds one of ours at most
+        free = len(server.open) < (1 if pause else server.limit)
+        return free and self.now >= max(server.not_before, server.sent_at + pause)
 
     def _fit(self, server: Server, method: int) -> bool:
         """Not set aside, not silent for four usual latencies with something out (hangs, cuts, pauses)."""
@@ -565,8 +564,7 @@
         return group(server) == group(self.servers[first])
 
     def _choose(self, rpc: Rpc) -> list[int]:
-        """The two best servers for it, if there are any. Of a large fleet sixteen in a row are ranked,
-        from a place drawn by chance: the cost of an RPC doesn't grow with the fleet."""
+        """The two best servers for it, of sixteen in a row: the cost doesn't grow with the fleet."""
         pool, size = self.ready, len(self.ready)
         if size > 16 and not rpc.maybe:
             first = self._random(size)
@@ -579,14 +577,14 @@
         return sorted(fit, key=lambda index: self._rank(self.servers[index]))[:2]
 
     def _look(self, rpc: Rpc) -> Generator[Wait, object, int | None]:
-        """Probes the best two where either was not heard for a second, two more while what it saw is too slow
-        or silent, and takes the one under the least pressure. Guards against what a gateway that sees a
-        server seldom can't know: queues, hangs, pauses, slow servers, overload by hundreds of gateways."""
+        """Probes the best two where there is trouble and one was not heard for a second, two more while what
+        it saw is slow or silent; takes the least pressed. Guards against what a gateway that sees a server
+        seldom can't know: queues, hangs, pauses, slow servers, overload by hundreds of gateways."""
         row, seen, asked = rpc.row, {}, []
         for _ in range(3):
             picks = self._choose(rpc)
-            if not self.birth.probing or not asked and not rpc.out and all(
-                    self.now - self.servers[index].heard < SECOND for index in picks):
+            calm = self.trouble < 0.05 or all(self.now < self.servers[i].heard + SECOND for i in picks)
+            if not self.birth.probing or calm and not asked and not rpc.out:
                 return next(iter(picks), None)
             for index in picks:
                 if index not in asked:
@@ -602,10 +600,10 @@
                     self.quickest[zone] = min(self.quickest.get(zone, SECOND), probe.elapsed)
                     seen[probe.server] = probe.load[0] if probe.load else probe.elapsed - self.quickest[zone]
             for index in sorted(seen, key=seen.get):
-                # Latency goes with pressure; four stands for the probe's own work, or for the cores. Over two
-                # fifths of the time left a server is near the point where it holds too much to be quick.
+                # Latency goes with pressure; four stands for the probe's own work, or for the cores. Over a
+                # third of the time left a server is near the point where it holds too much to be quick.
                 slow = row.mean * (seen[index] + 4) / (row.pressure + 4)
-                fits = slow < 0.4 * (min(rpc.soft, rpc.dl) - self.now)
+                fits = slow < 0.33 * (min(rpc.soft, rpc.dl) - self.now)
                 fits = fits and (not rpc.out or seen[index] <= row.pressure)    # a copy: where less is held
                 if fits and self._may(rpc, index) and self._room(self.servers[index]):
                     row.pressure += (seen[index] - row.pressure) * 0.05
