A late call-out lets in a fifth fewer, not three tenths; load reports read by name

Now a fifth less for each lone late call-out, and looks hold out for two fifths of the time left again. Could hurt where servers lose capacity fast when overdriven: fewer gateways hold back in the first second.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -137,6 +137,7 @@
         self.trouble = 0.1                      # recent share of call-outs late or failed
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
         self.ready: list[int] = []
+        self.held = (*birth.report_names, "held").index("held")  # its place in a report, or past the end
         self.quickest: dict[int, int] = {}      # zone -> the quickest probe
         self.looks: dict[int, list[Rpc]] = {}   # server probed -> who waits; emptied by a probe's end
         self.commands: list[face.Command] = []
@@ -390,7 +391,6 @@
                 self._post(sender, wire.Release(answer.serial, rpc.ask.customer))
 
     def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
-        row = rpc.row
         if self._random(1000) >= 1000 * self.let_in or not self._choose(rpc):
             self.let_in = min(1.15, self.let_in * 1.01)
             yield self._give_up(rpc)    # overload: refused before it costs an ask
@@ -409,14 +409,14 @@
                     yield face.Send(rpc.id, chosen, 0)
                     server = self.servers[chosen]
                     # A second copy after two fifths of the soft deadline: one of usual length is in time.
-                    copy_at = self.now + row.soft * 2 // 5
+                    copy_at = self.now + rpc.row.soft * 2 // 5
                 elif not rpc.out:
                     break
             yield Wait(copy_at if copy_at > self.now else rpc.dl)
             if not slow and self.now >= copy_at and len(server.open) == 1:
                 # Guards against queues of work that no longer counts, where gateways are so many that none
-                # fills a server. Held where two lone call-outs of seven are late.
-                slow, self.let_in = True, max(0.02, self.let_in * 0.7)
+                # fills a server. Held where two lone call-outs of five are late.
+                slow, self.let_in = True, max(0.02, self.let_in * 0.8)
         yield self._give_up(rpc)
 
     def _give_up(self, rpc: Rpc) -> face.Command:
@@ -596,14 +596,14 @@
                 probe = yield Wait(until)
                 if isinstance(probe, face.ProbeEnded) and probe.server in asked and probe.status == Status.OK:
                     # What it reports to hold, or how long the probe took beyond the quickest in its zone.
-                    zone = self.servers[probe.server].zone
+                    zone, report = self.servers[probe.server].zone, probe.load[self.held:]
                     self.quickest[zone] = min(self.quickest.get(zone, SECOND), probe.elapsed)
-                    seen[probe.server] = probe.load[0] if probe.load else probe.elapsed - self.quickest[zone]
+                    seen[probe.server] = report[0] if report else probe.elapsed - self.quickest[zone]
             for index in sorted(seen, key=seen.get):
-                # Latency goes with pressure; four stands for the probe's own work, or for the cores. Over a
-                # third of the time left a server is near the point where it holds too much to be quick.
+                # Latency goes with pressure; four stands for the probe's own work, or for the cores. Over two
+                # fifths of the time left a server is near the point where it holds too much to be quick.
                 slow = row.mean * (seen[index] + 4) / (row.pressure + 4)
-                fits = slow < 0.33 * (min(rpc.soft, rpc.dl) - self.now)
+                fits = slow < 0.4 * (min(rpc.soft, rpc.dl) - self.now)
                 fits = fits and (not rpc.out or seen[index] <= row.pressure)    # a copy: where less is held
                 if fits and self._may(rpc, index) and self._room(self.servers[index]):
                     row.pressure += (seen[index] - row.pressure) * 0.05
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -330,7 +330,7 @@
 
 
 def test_a_gateway_looks_before_it_sends_to_servers_it_seldom_hears():
-    brain = gateway(servers=40, gateways=80, probing=True)
+    brain = gateway(servers=40, gateways=80, probing=True, report_names=("tps", "held"))
     for server in brain.servers.values():
         server.pace = 1.0 if server.zone else 9.0       # by its own old view the ones in zone 0 are slow
     for rpc in range(30):
@@ -339,15 +339,15 @@
         probed = [command.server for command in commands if isinstance(command, face.Probe)]
         assert len(probed) == 2 and face.Send not in kinds(commands)
         first, second = probed      # the first holds much and says so, the second is idle: that gets the RPC
-        assert face.Send not in kinds(brain.handle(now + 9, face.ProbeEnded(first, Status.OK, 9, (30.0,))))
-        sent = brain.handle(now + 10, face.ProbeEnded(second, Status.OK, 9, (1.0,)))
+        assert face.Send not in kinds(brain.handle(now + 9, face.ProbeEnded(first, Status.OK, 9, (0.0, 30.0))))
+        sent = brain.handle(now + 10, face.ProbeEnded(second, Status.OK, 9, (9.0, 1.0)))
         assert [command.server for command in sent if isinstance(command, face.Send)] == [second]
     commands = brain.handle(50_000, arrival(99, 99))    # and if all hold much or say nothing it is shed at once
     for now in range(50_010, 54_000, 10):
         if face.PushBack in kinds(commands):
             break
         probed = [command.server for command in commands if isinstance(command, face.Probe)]
-        commands = [c for server in probed for c in brain.handle(now, face.ProbeEnded(server, Status.OK, 9, (400.0,)))]
+        commands = [c for server in probed for c in brain.handle(now, face.ProbeEnded(server, Status.OK, 9, (0.0, 400.0)))]
         commands += brain.handle(now, face.TimeCame(0))
     assert face.PushBack in kinds(commands) and now < 52_000
 
