Pressure is told by probe times alone; load reports are left unread

Cause: reports are refreshed up to a second apart, and what they said to be idle was filled by all gateways. Could hurt where probes are answered beside the queue and tell nothing: there two servers are drawn as good as by chance.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -137,7 +137,6 @@
         self.trouble = 0.1                      # recent share of call-outs late or failed
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
         self.ready: list[int] = []
-        self.held = (*birth.report_names, "held").index("held")  # its place in a report, or past the end
         self.quickest: dict[int, int] = {}      # zone -> the quickest probe
         self.looks: dict[int, list[Rpc]] = {}   # server probed -> who waits; emptied by a probe's end
         self.commands: list[face.Command] = []
@@ -595,10 +594,10 @@
             while self.now < until and len(seen) < len(asked):
                 probe = yield Wait(until)
                 if isinstance(probe, face.ProbeEnded) and probe.server in asked and probe.status == Status.OK:
-                    # What it reports to hold, or how long the probe took beyond the quickest in its zone.
-                    zone, report = self.servers[probe.server].zone, probe.load[self.held:]
+                    # How long it took beyond the quickest in its zone; reports are refreshed too seldom.
+                    zone = self.servers[probe.server].zone
                     self.quickest[zone] = min(self.quickest.get(zone, SECOND), probe.elapsed)
-                    seen[probe.server] = report[0] if report else probe.elapsed - self.quickest[zone]
+                    seen[probe.server] = probe.elapsed - self.quickest[zone]
             for index in sorted(seen, key=seen.get):
                 # Latency goes with pressure; four stands for the probe's own work, or for the cores. Over two
                 # fifths of the time left a server is near the point where it holds too much to be quick.
--- a/oakfork/interface.py
+++ b/oakfork/interface.py
@@ -83,7 +83,7 @@
     max_call_outs: int
     asks_list: bool     # changes of the server list come only after a subscription
     list_patience: int
-    report_names: tuple[str, ...]   # the order of the values in a report; "held": RPCs that the server holds
+    report_names: tuple[str, ...]
     report_how: str
     drain_grace: int
     cold_share: float
--- a/oakfork/wirehost/codec.py
+++ b/oakfork/wirehost/codec.py
@@ -26,9 +26,6 @@
 COUNTED = {LAUNCH: 1, ENDED: 4, CHECK_RESULT: 4, MESSAGE: 1, MANIFEST: ENTRY.size}  # bytes of one element
 
 
-REPORTS = {"concurrent": "held"}     # the values of load reports that the module reads, in its words
-
-
 class WireError(Exception):
     """The input is not a batch of this wire."""
 
@@ -119,7 +116,7 @@
         retry_after=bool(limits.get("retry-after", False)), probing=bool(limits.get("probing", False)),
         max_call_outs=int(limits.get("attempts-cap", 1)), asks_list=info.get("discovery") == "subscribe",
         list_patience=tenths(rules.get("ask-within-ms", 0)) or SECOND,
-        report_names=tuple(REPORTS.get(name, name) for name in stats.get("names", ())), report_how=stats.get("how", "off"),
+        report_names=tuple(stats.get("names", ())), report_how=stats.get("how", "off"),
         drain_grace=tenths(rules.get("stop-sending-within-ms", 0)), cold_share=rules.get("cold-share", 1.0),
         cold_time=tenths(rules.get("cold-ms", 0)), fall_multiple=rules.get("fall-multiple", 1.0),
         fall_time=tenths(rules.get("fall-ms", 0)))
