Two fifths of the soft deadline and the generator's mask are written once

The line between late and in time stood in two places, the 64-bit mask in three; the first is now a column of the table of methods. A comment that spoke of a crowd no longer kept is mended.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -16,6 +16,8 @@
 from oakfork import interface as face, peerwire as wire
 from oakfork.interface import NEVER_RAN, SECOND, Repeat, State, Status
 
+MASK = (1 << 64) - 1
+
 
 class Wait(NamedTuple):
     until: int      # resume me with the next thing that concerns me, or with None at this time
@@ -45,7 +47,7 @@
     state: State = State.GONE
     open: dict[tuple[int, int], int] = field(default_factory=dict)  # call-out -> sent at; emptied as they end
     heard: int = 0
-    pace: float = 1.0       # latency against the method's mean, for the same crowd
+    pace: float = 1.0       # latency against the method's mean
     mute: dict[int, int] = field(default_factory=dict)  # method that failed there -> until
     limit: float = 1e9      # own call-outs at once, learnt from late answers and refusals
     bad: float = 0.0        # recent share of call-outs that failed
@@ -86,6 +88,7 @@
     repeat: Repeat
     group: str
     remembered: int
+    late: int       # two fifths of the soft deadline: an answer of usual length is in time after that
     mean: float     # usual latency
     pressure: float = 1.0   # usual at the servers chosen, as probes tell it
 
@@ -111,11 +114,11 @@
 class Brain:
     def __init__(self, birth: face.Birth, now: int) -> None:
         self.birth, self.born, self.now = birth, now, now
-        self.chance = birth.seed & (1 << 64) - 1
+        self.chance = birth.seed & MASK
         self.life = 1 + self._random(65535)     # names this start to the others
         # An eighth of the soft deadline is a first guess only: replaced within some twenty answers.
         self.methods = [MethodRow(row.soft_deadline, row.repeat, row.group, row.remembered,
-                                  row.soft_deadline / 8) for row in birth.methods]
+                                  row.soft_deadline * 2 // 5, row.soft_deadline / 8) for row in birth.methods]
         self.shortest = min((method.soft_deadline for method in birth.methods), default=SECOND)
         self.longest = max((method.deadline for method in birth.methods), default=SECOND)
         self.servers: dict[int, Server] = {}
@@ -177,7 +180,7 @@
         heapq.heappush(self.alarms, (max(time, self.now + 1), self.alarm_no, act, args))
 
     def _random(self, below: int) -> int:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & MASK
         return (self.chance >> 33) % below
 
     def _owner(self, ask: face.Arrival) -> tuple[int, int]:
@@ -185,7 +188,7 @@
         total, first = self.birth.gateways, ask.first_gateway % self.birth.gateways
         number = min(total, max(1, ask.spread))
         past = max(0, first + number - total)   # those counted round from 0 come first
-        place = ((ask.customer * 0x9E3779B97F4A7C15 & (1 << 64) - 1) >> 33) % number
+        place = ((ask.customer * 0x9E3779B97F4A7C15 & MASK) >> 33) % number
         return place if place < past else first + place - past, number
 
     def _shares(self, plan: face.Plan, gateways: int) -> tuple[Shares, Shares]:
@@ -407,8 +410,7 @@
                 if chosen is not None:
                     yield face.Send(rpc.id, chosen, 0)
                     server = self.servers[chosen]
-                    # A second copy after two fifths of the soft deadline: one of usual length is in time.
-                    copy_at = self.now + rpc.row.soft * 2 // 5
+                    copy_at = self.now + rpc.row.late   # for a second copy
                 elif not rpc.out:
                     break
             yield Wait(copy_at if copy_at > self.now else rpc.dl)
@@ -493,7 +495,7 @@
 
     def _judge(self, server: Server, method: int, status: Status, elapsed: int) -> None:
         row, seldom = self.methods[method], self.now - server.heard > SECOND
-        late = elapsed > row.soft * 2 // 5
+        late = elapsed > row.late
         self.trouble += ((late or status not in (Status.OK, Status.CANCELLED)) - self.trouble) * 0.05
         if status == Status.FULL or late and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
             # Guards against a queue that nobody's answers leave in time, filled by what we keep out there.
