--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -324,8 +324,7 @@
     brain.quickest = {0: 9, 1: 9}
     for server in brain.servers.values():
         server.pace = 1.0 if server.zone else 9.0       # by its own old view the ones in zone 0 are slow
-    for rpc in range(30):
-        now = 20_000 + rpc * 100
+    for rpc, now in enumerate(range(20_000, 23_000, 100)):
         commands = brain.handle(now, arrival(rpc, rpc))
         probed = [command.server for command in commands if isinstance(command, face.Probe)]
         assert len(probed) == 2 and face.Send not in kinds(commands)
