--- /dev/null
+++ b/oakfork/sockets/__init__.py
@@ -0,0 +1,1 @@
+"""The real gateway: the decision module on sockets."""
--- /dev/null
+++ b/oakfork/sockets/configuration.py
@@ -0,0 +1,96 @@
+"""What the operators tell a gateway when it starts: where the others are, and the module's Birth."""
+import json
+from dataclasses import dataclass
+from typing import Any, Mapping
+
+from oakfork.birth import read_settings
+from oakfork.interface import Birth
+
+Address = tuple[str, int]
+
+
+class ConfigurationError(Exception):
+    """The configuration is not usable."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The indices of what the settings list by name."""
+    methods: Mapping[bytes, int]
+    plans: Mapping[bytes, int]
+    zones: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """Where a gateway stands, what it may hold and whom it talks to. Times are seconds."""
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    sockets: int
+    connect_patience: float
+    idle_patience: float
+    count_patience: float
+    longest_deadline: float
+    known: Mapping[str, Any]
+    names: Names
+    birth: Birth
+
+
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or int(port) > 65535:
+        raise ConfigurationError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def read(environment: Mapping[str, str]) -> Surroundings:
+    """Reads LB_CONFIG; LB_NAME, LB_LISTEN and LB_DISCOVERY go before what stands in it."""
+    path = environment.get("LB_CONFIG")
+    if not path:
+        raise ConfigurationError("LB_CONFIG names no file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigurationError(f"{path}: {error}") from error
+    told |= {key: environment[name] for key, name in
+             (("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("discovery", "LB_DISCOVERY")) if environment.get(name)}
+    try:
+        return _surroundings(told)
+    except (TypeError, ValueError, AttributeError, KeyError) as error:
+        raise ConfigurationError(f"{path}: not usable: {error!r}") from error
+
+
+def _surroundings(told: dict[str, Any]) -> Surroundings:
+    info = told["settings"]
+    limits, specifics = info.get("limits", {}), info.get("specifics", {})
+    birth = read_settings(int(told.get("seed", "0"), 16), info)
+
+    def place(key: str) -> Address | None:
+        return address(told[key]) if told.get(key) else None
+
+    def numbered(rows: list, key: str | None = None) -> dict[str, int]:
+        return {(row[key] if key else row): number for number, row in enumerate(rows)}
+
+    def encoded(numbers: dict[str, int]) -> dict[bytes, int]:
+        return {name.encode(): number for name, number in numbers.items()}
+
+    return Surroundings(
+        name=str(told.get("name", "")), listen=address(told["listen"]), discovery=address(told["discovery"]),
+        counter=place("counter") if specifics.get("shared-counter") else None,
+        peer_listen=place("peer_listen") if birth.peers else None,
+        peers=tuple(address(text) for text in told.get("peers", ())), peers_all=place("peers_all"),
+        sockets=int(told.get("limits", {}).get("sockets", 1024)),
+        connect_patience=limits.get("connect-timeout-ms", 250.0) / 1000,
+        idle_patience=limits.get("conn-idle-ms", 15_000.0) / 1000,
+        count_patience=specifics.get("count-limit-ms", 50.0) / 1000,
+        longest_deadline=max((method.deadline for method in birth.methods), default=0) / 10_000,
+        known=told.get("known", {}),
+        names=Names(encoded(numbered(info.get("classes", ()), "name")),
+                    encoded(numbered(info.get("tiers-of-service", ()), "name")), numbered(info.get("zones", ()))),
+        birth=birth)
--- /dev/null
+++ b/oakfork/sockets/counter.py
@@ -0,0 +1,76 @@
+"""Calls to the counter: written one behind another on one connection, answered in their order."""
+from collections import deque
+
+import h11
+import trio
+
+from oakfork import interface as face
+from oakfork.interface import Status
+from oakfork.sockets.configuration import Surroundings
+from oakfork.sockets.endings import STATUS, Break, Ending
+from oakfork.sockets.heads import Link, connect
+from oakfork.sockets.messages import Told
+
+MOST_WAITING = 256      # calls not yet written; one more is answered as if there were no connection
+
+
+class Counter:
+    """The calls of this gateway. The module's `kept_for` is in tenths of a millisecond."""
+
+    def __init__(self, here: Surroundings, queue: trio.MemorySendChannel[Told]) -> None:
+        self.here, self.queue = here, queue
+        self.calls: deque[tuple[face.Count, float]] = deque()      # emptied by run, or after the patience
+        self.more = trio.Event()
+
+    def count(self, call: face.Count) -> bool:
+        if len(self.calls) >= MOST_WAITING:
+            return False
+        self.calls.append((call, trio.current_time() + self.here.count_patience))
+        self.more.set()
+        return True
+
+    async def run(self) -> None:
+        while True:
+            await self.more.wait()
+            self.more = trio.Event()
+            link: Link | None = None
+            while self.calls:
+                call, until = self.calls.popleft()
+                link = await self._call(link, call, until)
+            if link is not None:
+                link.close()
+
+    async def _call(self, link: Link | None, call: face.Count, until: float) -> Link | None:
+        """One call; the connection if it can be used again."""
+        ending, total, written = Ending.SILENT, 0.0, False
+        with trio.move_on_at(until):
+            try:
+                link = link or await connect(self.here.counter, self.here.count_patience)
+                written = True
+                await link.write(h11.Request(
+                    method="POST", target=f"/counters/{call.name:x}?by={call.amount:.6f}&expire_ms={call.kept_for // 10}",
+                    headers=[("Host", "%s:%d" % self.here.counter), ("Content-Length", "0")]))
+                message = await link.read()
+                ending, total = _result(message)
+                if not link.renew():
+                    link.close()
+                    link = None
+            except Break as end:
+                ending = end.ending
+        if link is not None and ending not in (Ending.ANSWERED, Ending.TURNED_AWAY):
+            link.close()
+            link = None
+        status = STATUS[ending] if written or ending is not Ending.SILENT else Status.CONNECT_FAILED
+        await self.queue.send(face.CounterAnswered(status, total, call.name))
+        return link
+
+
+def _result(message) -> tuple[Ending, float]:
+    if message is None:
+        return Ending.ENDED, 0.0
+    if message.head.status_code != 200:
+        return Ending.TURNED_AWAY, 0.0      # 503, 400 and 404 alike: nothing was added
+    try:
+        return Ending.ANSWERED, float(message.body)
+    except ValueError:
+        return Ending.MALFORMED, 0.0
--- /dev/null
+++ b/oakfork/sockets/discovery.py
@@ -0,0 +1,96 @@
+"""Keeps up with the list of servers by watches, one after the other."""
+import json
+from typing import Any
+
+import h11
+import trio
+from structlog.stdlib import BoundLogger
+
+from oakfork.sockets.configuration import Surroundings
+from oakfork.sockets.endings import Break, Ending
+from oakfork.sockets.heads import Link, connect
+from oakfork.sockets.messages import Listed, Told
+
+HOLD = 20.0     # seconds that a watch waits for something new, as in PROTOCOL's example
+PAUSE = 0.1     # seconds before a broken watch is taken up again
+
+
+class Discovery:
+    def __init__(self, here: Surroundings, queue: trio.MemorySendChannel[Told], log: BoundLogger) -> None:
+        self.here, self.queue, self.log = here, queue, log
+        self.version = here.known.get("version")
+        self.asked = trio.Event()       # set while a watch is wanted
+        self.watching = trio.CancelScope()
+        if not here.birth.asks_list:
+            self.asked.set()
+
+    async def run(self) -> None:
+        while True:
+            await self.asked.wait()
+            self.watching = trio.CancelScope()
+            with self.watching:
+                try:
+                    await self._watch()
+                except Break as end:
+                    self.log.warning("the watch of the server list broke", ending=end.ending.name)
+                    if self.here.birth.asks_list:       # the module asks again
+                        self.asked = trio.Event()
+                        await self.queue.send(Listed(False, True, ()))
+                    else:
+                        await trio.sleep(PAUSE)
+
+    def subscribe(self, on: bool) -> None:
+        if on:
+            self.asked.set()
+        elif self.asked.is_set():
+            self.asked = trio.Event()
+            self.watching.cancel()
+
+    async def read_once(self) -> None:
+        """The whole list, on the module's request."""
+        try:
+            link = await connect(self.here.discovery, self.here.connect_patience)
+            try:
+                await self._ask(link, "/api/targets")
+            finally:
+                link.close()
+        except Break:
+            await self.queue.send(Listed(False, True, ()))
+
+    async def _watch(self) -> None:
+        link = await connect(self.here.discovery, self.here.connect_patience)
+        try:
+            while True:
+                await self._ask(link, "/api/targets" if self.version is None else
+                                f"/api/targets?from={self.version}&hold_ms={HOLD * 1000:.0f}")
+                if not link.renew():
+                    link.close()
+                    link = await connect(self.here.discovery, self.here.connect_patience)
+        finally:
+            link.close()
+
+    async def _ask(self, link: Link, target: str) -> None:
+        """One call, whose answer goes to the keeper."""
+        with trio.move_on_after(HOLD + 1.0):    # a second more than the agent may take
+            await link.write(h11.Request(method="GET", target=target,
+                                         headers=[("Host", "%s:%d" % self.here.discovery)]))
+            message = await link.read()
+            if message is None or message.head.status_code != 200:
+                raise Break(Ending.ENDED if message is None else Ending.ERROR)
+            try:
+                told = json.loads(message.body)
+                version, complete, servers = int(told["version"]), bool(told["full"]), list(told["servers"])
+            except (ValueError, TypeError, KeyError):
+                self.version = None     # what was missed is not known: the whole list next
+                raise Break(Ending.MALFORMED) from None
+            self.version = version
+            if servers or complete:
+                await self.queue.send(Listed(complete, False, servers))
+            return
+        raise Break(Ending.SILENT)
+
+
+def rows(known: dict[str, Any]) -> list:
+    """The list that a gateway has when it starts."""
+    servers = known.get("servers", ())
+    return list(servers) if isinstance(servers, list) else []
--- /dev/null
+++ b/oakfork/sockets/gateway.py
@@ -0,0 +1,61 @@
+"""Puts the parts of a gateway together, and takes it out of service on SIGTERM."""
+import logging
+import signal
+import sys
+
+import structlog
+import trio
+
+from oakfork.sockets.clients import Clients
+from oakfork.sockets.configuration import Surroundings
+from oakfork.sockets.counter import Counter
+from oakfork.sockets.discovery import Discovery
+from oakfork.sockets.keeper import Keeper
+from oakfork.sockets.peers import Peers
+from oakfork.sockets.servers import Servers
+
+QUEUE = 1024        # what the keeper has not yet taken; socket tasks wait beyond it, datagrams are lost
+LINGER = 0.6        # seconds after SIGTERM in which new connections are still taken: they come for 0.4 s
+MARGIN = 0.7        # seconds beyond the longest deadline after which it ends in any case, as in PROTOCOL
+
+
+def logger(name: str) -> structlog.stdlib.BoundLogger:
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.format_exc_info,
+                    structlog.processors.TimeStamper(fmt="iso"), structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+    return structlog.get_logger(gateway=name)
+
+
+async def run(here: Surroundings) -> None:
+    log = logger(here.name)
+    queue, inbox = trio.open_memory_channel(QUEUE)
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async with trio.open_nursery() as nursery:
+            # Two fifths of the descriptors for each side; the rest for the other parties and the interpreter.
+            servers = Servers(here.sockets * 2 // 5, here.connect_patience, here.idle_patience,
+                              here.birth.report_names)
+            clients = Clients(here, here.sockets * 2 // 5, queue, log)
+            discovery = Discovery(here, queue, log)
+            peers = Peers(here, queue) if here.peer_listen else None
+            counter = Counter(here, queue) if here.counter else None
+            keeper = Keeper(here, inbox, queue, servers, discovery, peers, counter, nursery, log)
+            for task in (keeper.run, servers.sweep, discovery.run):
+                nursery.start_soon(task)
+            if peers:
+                nursery.start_soon(peers.run)
+            if counter:
+                nursery.start_soon(counter.run)
+            nursery.start_soon(clients.run, nursery)
+            log.info("serving", listen="%s:%d" % here.listen)
+            async for _ in signals:
+                break
+            log.info("leaving", connections=clients.open)
+            clients.leave()
+            await trio.sleep(LINGER)
+            clients.accepting.cancel()
+            with trio.move_on_after(max(3.0, here.longest_deadline) + MARGIN - LINGER):
+                await clients.empty.wait()
+            nursery.cancel_scope.cancel()
+    log.info("left")
--- /dev/null
+++ b/oakfork/sockets/keeper.py
@@ -0,0 +1,206 @@
+"""The one task that owns the decision module, its clock and its timers. Others reach it through a queue only."""
+import heapq
+import time
+from collections import deque
+from typing import Any, Mapping, Sequence
+
+import h11
+import trio
+from structlog.stdlib import BoundLogger
+
+from oakfork import interface as face
+from oakfork.brain import Brain
+from oakfork.door import Door
+from oakfork.interface import Status
+from oakfork.sockets.configuration import Address, ConfigurationError, Surroundings, address
+from oakfork.sockets.counter import Counter
+from oakfork.sockets.discovery import Discovery, rows
+from oakfork.sockets.endings import STATUS, Ending
+from oakfork.sockets.exchange import Answer, CallOut, Exchange
+from oakfork.sockets.messages import Came, CallOutOver, Left, Listed, Told
+from oakfork.sockets.peers import Peers
+from oakfork.sockets.servers import Servers
+
+STATES = {"up": face.State.READY, "draining": face.State.DRAINING, "removed": face.State.GONE}
+
+
+class Keeper:
+    """Turns what it is told into events, and the module's commands into work of other tasks."""
+
+    def __init__(self, here: Surroundings, inbox: trio.MemoryReceiveChannel[Told],
+                 queue: trio.MemorySendChannel[Told], servers: Servers, discovery: Discovery, peers: Peers | None,
+                 counter: Counter | None, nursery: trio.Nursery, log: BoundLogger) -> None:
+        self.here, self.inbox, self.queue, self.servers = here, inbox, queue, servers
+        self.discovery, self.peers, self.counter, self.nursery, self.log = discovery, peers, counter, nursery, log
+        self.epoch = time.time() - trio.current_time()     # the module's clock counts as Unix time does
+        self.door: Door[Exchange, str] = Door()
+        self.addresses: list[Address] = []                  # by the server's index
+        self.wakes: list[tuple[float, int]] = []            # when, token; emptied as they come
+        self.own: deque[face.Event] = deque()               # events that the commands themselves cause
+        self.zeal = here.birth.report_how == "on_probe"
+        self.brain = Brain(here.birth, self.now())
+        self._handle(face.ServerList(True, False, self._entries(rows(here.known))))
+
+    def now(self) -> int:
+        return int((trio.current_time() + self.epoch) * 10_000)
+
+    async def run(self) -> None:
+        while True:
+            while self.wakes and self.wakes[0][0] <= trio.current_time():
+                self._handle(face.TimeCame(heapq.heappop(self.wakes)[1]))
+            try:
+                told = self.inbox.receive_nowait()
+            except trio.WouldBlock:
+                with trio.move_on_at(self.wakes[0][0] if self.wakes else float("inf")):
+                    told = await self.inbox.receive()
+                    self._take(told)
+                continue
+            self._take(told)
+
+    def _take(self, told: Told) -> None:
+        match told:
+            case Came(exchange):
+                index = self.door.admit(exchange)
+                waited = int((trio.current_time() - exchange.received) * 10_000)
+                self._handle(face.Arrival(index, exchange.customer, exchange.method, exchange.plan, exchange.units,
+                                          exchange.first_gateway, exchange.spread,
+                                          max(0, exchange.time_left - waited), exchange.repeated), index)
+            case Left(exchange):
+                index = self.door.rpcs.get(exchange)
+                if index is not None:
+                    ticket = self.door.tickets[index]
+                    was_over, ticket.over = ticket.over, True
+                    if not was_over:
+                        self._handle(face.ClientGone(index), index)
+                    self.door.settle(index)
+            case CallOutOver(exchange, call_out, ending, message):
+                self._call_out_over(exchange, call_out, ending, message)
+            case Listed(complete, failed, servers):
+                self._handle(face.ServerList(complete, failed, self._entries(servers)))
+            case _:
+                self._handle(told)
+
+    def _call_out_over(self, exchange: Exchange, call_out: CallOut, ending: Ending, message: Any) -> None:
+        index = self.door.rpcs[exchange]
+        ticket = self.door.tickets[index]
+        exchange.call_outs.pop(call_out.number, None)
+        ticket.out -= 1
+        if ending is Ending.ANSWERED and not ticket.over:     # the first answer goes to the client by itself
+            ticket.over = True
+            exchange.finish(Answer(200, message.body, message.header(b"content-type")))
+        elapsed = int((trio.current_time() - call_out.started) * 10_000)
+        self._handle(face.CallOutEnded(index, call_out.number, call_out.server, elapsed, STATUS[ending], ticket.over,
+                                       0.0, self.servers.load(message)), index)
+
+    def _handle(self, event: face.Event, index: int | None = None) -> None:
+        """Has the module decide, and carries out what it says."""
+        self.own.append(event)
+        touched = {index}
+        while self.own:
+            event = self.own.popleft()
+            try:
+                commands = self.brain.handle(self.now(), event)
+            except Exception:   # a decision that fails costs its own RPC, not all that this gateway holds
+                self.log.exception("the decision module failed", event_type=type(event).__name__)
+                commands = [face.Abort(index)] if index is not None and self.door.tickets[index] else []
+            for command in commands:
+                touched.add(self._carry_out(command))
+        for rpc in touched - {None}:
+            self.door.settle(rpc)
+
+    def _carry_out(self, command: face.Command) -> int | None:
+        """Starts what the command says, without waiting for it; the RPC that it may have concluded."""
+        match command:
+            case face.Send(rpc, server, until):
+                self._send(rpc, server, until)
+            case face.PushBack(rpc, retry_after):
+                self._finish(rpc, Answer(503, retry_after=retry_after / 10_000))
+                return rpc
+            case face.Abort(rpc):
+                self._finish(rpc, Answer(502))
+                return rpc
+            case face.Cancel(rpc, number):
+                ticket = self.door.tickets[rpc]
+                if ticket and number in ticket.true_id.call_outs:
+                    ticket.true_id.call_outs[number].withdraw()
+            case face.Wake(token, after):
+                heapq.heappush(self.wakes, (trio.current_time() + after / 10_000, token))
+            case face.Probe(server):
+                self.nursery.start_soon(self._probe, server)
+            case face.Tell(peer, data) if self.peers:
+                self.peers.tell(peer, data)
+            case face.Subscribe(on):
+                self.discovery.subscribe(on)
+            case face.ReadList():
+                self.nursery.start_soon(self.discovery.read_once)
+            case face.CloseIdle(server):
+                self.servers.close_idle(self.addresses[server])
+            case face.Count():
+                if not self.counter or not self.counter.count(command):
+                    self.own.append(face.CounterAnswered(Status.CONNECT_FAILED, 0.0, command.name))
+            case face.Note(text):
+                self.log.info("note", text=text)
+        return None
+
+    def _finish(self, rpc: int, answer: Answer) -> None:
+        ticket = self.door.tickets[rpc]
+        if ticket and not ticket.over:
+            ticket.over = True
+            ticket.true_id.finish(answer)
+
+    def _send(self, rpc: int, server: int, until: int) -> None:
+        ticket = self.door.tickets[rpc]
+        exchange = ticket.true_id
+        end = min(exchange.until, until / 10_000 - self.epoch) if until else exchange.until
+        call_out = CallOut(exchange.sent, server, end)
+        exchange.sent += 1
+        if ticket.over or end <= trio.current_time():
+            status = STATUS[Ending.TOO_LATE]
+            self.own.append(face.CallOutEnded(rpc, call_out.number, server, 0, status, ticket.over, 0.0, ()))
+            return
+        ticket.out += 1
+        exchange.call_outs[call_out.number] = call_out
+        self.nursery.start_soon(self._call_out, exchange, call_out)
+
+    async def _call_out(self, exchange: Exchange, call_out: CallOut) -> None:
+        ending, message = Ending.GIVEN_UP, None
+        with call_out.scope:
+            left = call_out.scope.deadline - trio.current_time()
+            head = exchange.message.head
+            request = h11.Request(method=head.method, target=head.target, headers=[
+                *exchange.passed_on, (b"x-remaining-ms", b"%d" % (left * 1000))])
+            ending, message = await self.servers.call(self.addresses[call_out.server], request, exchange.message.body,
+                                                      left)
+        if call_out.scope.cancelled_caught and not call_out.withdrawn:
+            ending = Ending.SILENT
+        await self.queue.send(CallOutOver(exchange, call_out, ending, message))
+
+    async def _probe(self, server: int) -> None:
+        started = trio.current_time()
+        ending, message = await self.servers.probe(self.addresses[server], self.zeal)
+        elapsed = int((trio.current_time() - started) * 10_000)
+        await self.queue.send(face.ProbeEnded(server, STATUS[ending], elapsed, self.servers.load(message)))
+
+    def _entries(self, listed: Sequence[Mapping[str, Any]]) -> tuple[face.ServerEntry, ...]:
+        """The entries that make sense; a list with others is used without those."""
+        entries = []
+        for row in listed:
+            try:
+                state, name = STATES[row["state"]], str(row["id"])
+                place = address(row["addr"]) if row.get("addr") else None
+                index = self.door.servers.get(name)
+                if index is None and place is None:     # removed before it was known
+                    continue
+                entry = face.ServerEntry(self.door.server(name), int.from_bytes(name.encode(), "big"),
+                                         self.here.names.zones.get(row.get("zone"), 0), int(row.get("cell", 0)), state,
+                                         int(row.get("started_ms", 0) * 10), float(row.get("weight", 1.0)))
+            except (KeyError, TypeError, ValueError, AttributeError, ConfigurationError):
+                self.log.warning("an entry of the server list is not usable", entry=str(row)[:200])
+                continue
+            if entry.server == len(self.addresses):
+                self.addresses.append(place)
+            elif place and place != self.addresses[entry.server]:
+                self.servers.close_idle(self.addresses[entry.server])
+                self.addresses[entry.server] = place
+            entries.append(entry)
+        return tuple(entries)
--- /dev/null
+++ b/oakfork/sockets/peers.py
@@ -0,0 +1,44 @@
+"""Datagrams between gateways."""
+import socket
+
+import trio
+
+from oakfork import interface as face
+from oakfork.peerwire import LARGEST
+from oakfork.sockets.configuration import Surroundings
+from oakfork.sockets.messages import Told
+
+EVERYONE = 0xFFFF   # the module's number for all gateways of the tier
+
+
+class Peers:
+    def __init__(self, here: Surroundings, queue: trio.MemorySendChannel[Told]) -> None:
+        self.here, self.queue = here, queue
+        self.numbers = {address: number for number, address in enumerate(here.peers)}
+        self.out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.out.bind(here.peer_listen)
+        self.sock = trio.socket.from_stdlib_socket(self.out)    # makes it non-blocking
+
+    async def run(self) -> None:
+        """Takes in datagrams; what the queue has no room for is lost, as datagrams may be."""
+        while True:
+            try:
+                data, sender = await self.sock.recvfrom(LARGEST + 1)
+            except OSError:     # an earlier datagram of ours found nobody there
+                continue
+            if sender in self.numbers:
+                try:
+                    self.queue.send_nowait(face.PeerFrame(self.numbers[sender], data))
+                except trio.WouldBlock:
+                    pass
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Sends at once or not at all."""
+        address = self.here.peers_all if peer == EVERYONE else \
+            self.here.peers[peer] if peer < len(self.here.peers) else None
+        if address is None or len(data) > LARGEST:
+            return
+        try:
+            self.out.sendto(data, address)
+        except OSError:     # no room in the buffer, or nobody there: lost, as any datagram may be
+            pass
--- /dev/null
+++ b/oakfork/sockets/servers.py
@@ -0,0 +1,131 @@
+"""Connections to the servers: call-outs and probes, each on a connection of its own while it lasts."""
+from typing import Sequence
+
+import h11
+import trio
+
+from oakfork.sockets.configuration import Address
+from oakfork.sockets.endings import Break, Ending
+from oakfork.sockets.heads import Link, Message, connect
+
+EARLY = 1.0     # seconds before the other side's idle limit at which a connection is no longer used
+
+
+class Servers:
+    """Idle connections by server, the last used first, and the number of all connections."""
+
+    def __init__(self, most: int, connect_patience: float, idle_patience: float, names: Sequence[str]) -> None:
+        self.most = most
+        self.connect_patience = connect_patience
+        self.usable = max(0.0, idle_patience - EARLY)
+        self.names = [name.encode() for name in names]
+        self.open = 0
+        self.idle: dict[Address, list[tuple[float, Link]]] = {}    # emptied by sweep
+
+    async def call(self, address: Address, request: h11.Request, body: bytes, patience: float
+                   ) -> tuple[Ending, Message | None]:
+        """One exchange with a server. Sends it once and never again; the connection is kept if it stays usable."""
+        if patience <= 0:
+            return Ending.TOO_LATE, None
+        link = None
+        try:
+            link = self._kept(address) or await self._new(address)
+            await link.write(request, body)
+            message = await link.read()
+            if message is None:
+                raise Break(Ending.ENDED)
+            if not _framed(message):
+                raise Break(Ending.BROKEN)
+            if link.renew():
+                self.idle.setdefault(address, []).append((trio.current_time(), link))
+                link = None
+            return _ending(message), message
+        except Break as end:
+            return end.ending, None
+        finally:
+            if link is not None:
+                self._drop(link)
+
+    async def probe(self, address: Address, with_load: bool) -> tuple[Ending, Message | None]:
+        """A look at a server; it waits as long as for a connection."""
+        request = h11.Request(method="GET", target="/-/load" if with_load else "/-/healthy",
+                              headers=[("Host", "%s:%d" % address)])
+        with trio.move_on_after(self.connect_patience):
+            return await self.call(address, request, b"", self.connect_patience)
+        return Ending.SILENT, None
+
+    def _kept(self, address: Address) -> Link | None:
+        kept = self.idle.get(address, [])
+        while kept:
+            since, link = kept.pop()
+            if trio.current_time() - since < self.usable and link.lively():
+                return link
+            self._drop(link)
+        return None
+
+    async def _new(self, address: Address) -> Link:
+        if self.open >= self.most and not self._drop_oldest():
+            raise Break(Ending.NO_ROOM)
+        self.open += 1
+        try:
+            return await connect(address, self.connect_patience)
+        except BaseException:
+            self.open -= 1
+            raise
+
+    def _drop(self, link: Link) -> None:
+        self.open -= 1
+        link.close()
+
+    def _drop_oldest(self) -> bool:
+        lists = [kept for kept in self.idle.values() if kept]
+        if lists:
+            self._drop(min(lists, key=lambda kept: kept[0][0]).pop(0)[1])
+        return bool(lists)
+
+    def close_idle(self, address: Address) -> None:
+        for _, link in self.idle.pop(address, ()):
+            self._drop(link)
+
+    async def sweep(self) -> None:
+        """Closes what has stood idle too long to be used again."""
+        while True:
+            await trio.sleep(EARLY)
+            last = trio.current_time() - self.usable
+            for address, kept in list(self.idle.items()):
+                while kept and kept[0][0] < last:
+                    self._drop(kept.pop(0)[1])
+                if not kept:
+                    del self.idle[address]
+
+    def load(self, message: Message | None) -> tuple[float, ...]:
+        """The load report, in the settings' order; empty if there is none."""
+        if message is None or not self.names:
+            return ()
+        text = message.header(b"x-pressure") or (message.body if b"=" in message.body[:64] else b"")
+        values = {}
+        for part in text.split(b","):
+            name, _, value = part.strip().partition(b"=")
+            try:
+                values[name] = float(value)
+            except ValueError:
+                return ()
+        if not all(name in values for name in self.names):
+            return ()
+        return tuple(values[name] for name in self.names)
+
+
+def _framed(message: Message) -> bool:
+    """Whether the answer told its own length: otherwise a break can't be told from the end."""
+    if message.head.status_code in (204, 304):
+        return True
+    return message.header(b"content-length") is not None or message.header(b"transfer-encoding") is not None
+
+
+def _ending(message: Message) -> Ending:
+    status = message.head.status_code
+    if status == 200:
+        return Ending.ANSWERED
+    if status in (503, 504) and message.header(b"x-turned-away") == b"1":
+        return Ending.TURNED_AWAY
+    return Ending.ERROR
--- a/oakfork/wirehost/host.py
+++ b/oakfork/wirehost/host.py
@@ -1,55 +1,21 @@
-"""Hosts instances of the decision module that share nothing, and maps ids at the door. No decision is taken here."""
+"""Hosts instances of the decision module that share nothing. No decision is taken here."""
 import traceback
 from typing import BinaryIO, Callable
 
 from oakfork import interface as face
 from oakfork.brain import Brain
+from oakfork.door import Door
 from oakfork.wirehost import codec
 
 Decider = Callable[[face.Birth, int], Brain]
 
 
-class Ticket:
-    """An RPC at the door: its true id, and whether its index may be used again."""
-    __slots__ = ("true_id", "out", "over")
-
-    def __init__(self, true_id: int) -> None:
-        self.true_id = true_id
-        self.out = 0
-        self.over = False
-
-
 class Instance:
-    """One gateway: the module and its door. The tables here are emptied as RPCs end."""
+    """One gateway: the module and its door."""
 
     def __init__(self, birth: face.Birth, now: int, decider: Decider) -> None:
         self.brain = decider(birth, now)
-        self.servers: dict[bytes, int] = {}     # grows with the machines ever listed only
-        self.addresses: list[bytes] = []
-        self.rpcs: dict[int, int] = {}
-        self.tickets: list[Ticket | None] = []
-        self.free: list[int] = []
-
-    def server(self, address: bytes) -> int:
-        if address not in self.servers:
-            self.servers[address] = len(self.addresses)
-            self.addresses.append(address)
-        return self.servers[address]
-
-    def admit(self, true_id: int) -> int:
-        index = self.free.pop() if self.free else len(self.tickets)
-        if index == len(self.tickets):
-            self.tickets.append(None)
-        self.tickets[index] = Ticket(true_id)
-        self.rpcs[true_id] = index
-        return index
-
-    def settle(self, index: int) -> None:
-        ticket = self.tickets[index]
-        if ticket and ticket.over and not ticket.out:
-            self.tickets[index] = None
-            del self.rpcs[ticket.true_id]
-            self.free.append(index)
+        self.door: Door[int, bytes] = Door()
 
     def event(self, record: codec.Record, entries: bytes) -> tuple[face.Event | None, int | None]:
         """The record as an event of the module, and the RPC it speaks of; None for what is already over."""
@@ -58,7 +24,7 @@
             return face.ServerList(values[0] in (1, 2), values[0] == 3, self.entries(entries)), None
         if code == codec.ACCEPT:
             true_id, customer, flags, first, left, spread, method, plan, units = values
-            index = self.admit(true_id)
+            index = self.door.admit(true_id)
             return face.Arrival(index, customer, method, plan, units, int(first), int(spread), codec.tenths(left),
                                 bool(flags & 2)), index
         if code == codec.TIMEOUT_FIRED:
@@ -69,10 +35,10 @@
             return face.CounterAnswered(face.Status(values[0]), values[1], values[2]), None
         if code == codec.CHECK_RESULT:
             address, status, elapsed, _ = values
-            return face.ProbeEnded(self.server(address), face.Status(status), codec.tenths(elapsed),
+            return face.ProbeEnded(self.door.server(address), face.Status(status), codec.tenths(elapsed),
                                    codec.floats(record.tail)), None
-        index = self.rpcs.get(values[0])
-        ticket = None if index is None else self.tickets[index]
+        index = self.door.rpcs.get(values[0])
+        ticket = None if index is None else self.door.tickets[index]
         if ticket is None:
             return None, None
         if code == codec.EXPIRED:
@@ -83,32 +49,32 @@
         _, call_out, address, elapsed, true_units, status, final, _, _ = values
         ticket.out -= 1
         ticket.over |= bool(final)
-        return face.CallOutEnded(index, call_out, self.server(address), codec.tenths(elapsed), face.Status(status),
+        return face.CallOutEnded(index, call_out, self.door.server(address), codec.tenths(elapsed), face.Status(status),
                                  bool(final), true_units, codec.floats(record.tail)), index
 
     def entries(self, data: bytes) -> tuple[face.ServerEntry, ...]:
         return tuple(
-            face.ServerEntry(self.server(address), int.from_bytes(address, "big"), zone, cell, face.State(state),
+            face.ServerEntry(self.door.server(address), int.from_bytes(address, "big"), zone, cell, face.State(state),
                              codec.tenths(up_since), weight)
             for zone, _, address, cell, state, up_since, weight in codec.ENTRY.iter_unpack(data))
 
     def action(self, now: int, command: face.Command) -> bytes:
         match command:
             case face.Send(rpc, server, until):
-                self.tickets[rpc].out += 1
-                return codec.transmit(self.tickets[rpc].true_id, self.addresses[server], until / 10)
+                self.door.tickets[rpc].out += 1
+                return codec.transmit(self.door.tickets[rpc].true_id, self.door.server_ids[server], until / 10)
             case face.PushBack(rpc, retry_after):
-                self.tickets[rpc].over = True
-                return codec.deny(self.tickets[rpc].true_id, retry_after / 10)
+                self.door.tickets[rpc].over = True
+                return codec.deny(self.door.tickets[rpc].true_id, retry_after / 10)
             case face.Abort(rpc):
-                self.tickets[rpc].over = True
-                return codec.abort(self.tickets[rpc].true_id)
+                self.door.tickets[rpc].over = True
+                return codec.abort(self.door.tickets[rpc].true_id)
             case face.Cancel(rpc, call_out):
-                return codec.retract(self.tickets[rpc].true_id, call_out)
+                return codec.retract(self.door.tickets[rpc].true_id, call_out)
             case face.Wake(token, after):
                 return codec.remind(token, after / 10)
             case face.Probe(server):
-                return codec.check(self.addresses[server])
+                return codec.check(self.door.server_ids[server])
             case face.Tell(peer, data):
                 return codec.signal(peer, data)
             case face.Subscribe(on):
@@ -116,7 +82,7 @@
             case face.ReadList():
                 return codec.read_list()
             case face.CloseIdle(server):
-                return codec.disconnect(self.addresses[server])
+                return codec.disconnect(self.door.server_ids[server])
             case face.Count(name, amount, kept_for):
                 return codec.enter(name, amount, kept_for / 10)
             case face.Note(text):
@@ -136,7 +102,7 @@
             if isinstance(command, (face.PushBack, face.Abort)):
                 touched.add(command.rpc)
         for rpc in sorted(touched):
-            self.settle(rpc)
+            self.door.settle(rpc)
         return b"".join(actions)
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -73,7 +73,7 @@
     host = Host()
     replies = run(batch(1000.0, context(0), launch(), manifest(0, 1), discovery(0), accept(1)),
                   batch(1001.0, context(0), bytes((codec.EXIT,)), launch(2), discovery(0), gone, accept(2)), host=host)
-    assert struct.pack("<BQ", 70, 2) in replies[1] and list(host.instances[0].rpcs) == [2]
+    assert struct.pack("<BQ", 70, 2) in replies[1] and list(host.instances[0].door.rpcs) == [2]
 
 
 def test_the_index_of_an_rpc_is_used_again():
@@ -82,7 +82,7 @@
     run(batch(1000.0, context(0), launch(), manifest(0, 1), discovery(0)), host=host)
     for rpc in range(200):
         run(batch(2000.0 + rpc * 300, context(0), accept(rpc)), batch(2050.0 + rpc * 300, context(0), ok(rpc)), host=host)
-    assert len(host.instances[0].tickets) <= 2 and not host.instances[0].rpcs
+    assert len(host.instances[0].door.tickets) <= 2 and not host.instances[0].door.rpcs
 
 
 def test_a_failing_module_becomes_a_bailout_that_names_it():
