Answers are written by the keeper's call, and timers are as coarse as the tick

Cause: a profile showed a cancelled wait and a task's turn for each answer, and a wake-up for each outdated timer of the module (five an RPC). A client's task now only receives; timers wait up to the settings' tick for other work, as they do in the simulator.

--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -14,17 +14,18 @@
 
 BACKLOG = 512
 PATIENCE = 10.0     # seconds for a whole request once begun, and for a client to take its answer
+PLAIN_STATUS = {Ending.MALFORMED: 400, Ending.OVERSIZED: 413, Ending.SILENT: 408}
 
 
 class Clients:
-    """The connections of clients; each is one task."""
+    """All connections of clients. Over `most` of them, an answer is its connection's last."""
 
-    def __init__(self, here: Surroundings, most: int, queue: trio.MemorySendChannel[Told], log: BoundLogger) -> None:
-        self.here, self.most, self.queue, self.log = here, most, queue, log
+    def __init__(self, here: Surroundings, most: int, queue: trio.MemorySendChannel[Told], nursery: trio.Nursery,
+                 log: BoundLogger) -> None:
+        self.here, self.most, self.queue, self.nursery, self.log = here, most, queue, nursery, log
         self.leaving = False
-        self.open = 0
+        self.open: set[Client] = set()
         self.empty = trio.Event()       # set once it is leaving and all connections are closed
-        self.idle: set[trio.CancelScope] = set()    # connections between two requests
         self.accepting = trio.CancelScope()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -32,7 +33,7 @@
         self.sock.bind(here.listen)
         self.sock.listen(BACKLOG)
 
-    async def run(self, nursery: trio.Nursery) -> None:
+    async def run(self) -> None:
         with self.accepting:
             while True:
                 await trio.lowlevel.wait_readable(self.sock)
@@ -43,110 +44,131 @@
                         self.log.warning("no descriptor left for a client")
                         await trio.sleep(0.05)      # until others have closed theirs
                     continue
-                self.open += 1
-                nursery.start_soon(self._serve, sock)
+                client = Client(self, sock)
+                self.open.add(client)
+                self.nursery.start_soon(client.serve)
         self.sock.close()
-        self._leave_idle()
+        self.leave()
 
     def leave(self) -> None:
         """From now on each answer is its connection's last, and idle connections close."""
         self.leaving = True
-        self._leave_idle()
+        for client in self.open:
+            client.leave_if_idle()
+        self.left(None)
 
-    def _leave_idle(self) -> None:
-        for scope in self.idle:
-            scope.cancel()
+    def left(self, client: "Client | None") -> None:
+        self.open.discard(client)
         if self.leaving and not self.open:
             self.empty.set()
 
-    async def _serve(self, sock: socket.socket) -> None:
+    def tell(self, told: Told) -> None:
+        """To the keeper, in a task of its own where the queue is full."""
         try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            link = Link(sock, h11.SERVER)
-            while await self._begun(link):
-                if not await self._one(link):
-                    break
-        except (Break, OSError):
-            pass    # the client is gone, or can't be answered
+            self.queue.send_nowait(told)
+        except trio.WouldBlock:
+            self.nursery.start_soon(self.queue.send, told)
+
+
+class Client:
+    """One connection. Its task only receives; an answer is written at once by the task that has it."""
+
+    def __init__(self, all_clients: Clients, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.all = all_clients
+        self.link = Link(sock, h11.SERVER)
+        self.scope = trio.CancelScope()     # cancelled when the connection is to be closed
+        self.exchange: Exchange | None = None   # not answered yet
+
+    async def serve(self) -> None:
+        try:
+            with self.scope:
+                while True:
+                    if self.link.buffered > LARGEST_BODY and self.exchange:
+                        await trio.sleep_forever()      # it sends on without an answer: no more is taken
+                    if not await self.link.fill() and (self.exchange or not self.link.partial()):
+                        break
+                    self._go_on()
+            if self.scope.cancelled_caught and self.link.partial():
+                self._write(Answer(PLAIN_STATUS[Ending.SILENT]))
+        except Break:
+            pass    # the client is gone
         finally:
-            sock.close()
-            self.open -= 1
-            if self.leaving and not self.open:
-                self.empty.set()
-
-    async def _begun(self, link: Link) -> bool:
-        """Waits for the first bytes of a request."""
-        if link.buffered:
-            return True
-        with trio.CancelScope() as scope:
-            self.idle.add(scope)
-            try:
-                return await link.fill()
-            finally:
-                self.idle.discard(scope)
-        return False
+            self.link.close()
+            if self.exchange:
+                self.all.tell(Left(self.exchange))
+            self.all.left(self)
+
+    def leave_if_idle(self) -> None:
+        if not self.exchange and not self.link.buffered:
+            self.scope.cancel()
 
-    async def _one(self, link: Link) -> bool:
-        """One request and its answer; whether the connection goes on."""
+    def _go_on(self) -> None:
+        """Takes what has come whole, one request at a time."""
         try:
-            message = link.parse()
-            if message is None:
-                with trio.CancelScope(deadline=trio.current_time() + PATIENCE):
-                    message = await link.read()
-            if message is None:
-                raise Break(Ending.SILENT)
+            while self.exchange is None and (message := self.link.parse()):
+                self.scope.deadline = float("inf")
+                self._take(message)
         except Break as end:
-            status = {Ending.MALFORMED: 400, Ending.OVERSIZED: 413, Ending.SILENT: 408}.get(end.ending)
-            if status:
-                await self._write(link, Answer(status), last=True)
-            return False
-        answer = self._plain(message)
-        if answer is None:
-            try:
-                exchange = Exchange(message, self.here.names, self.here.birth.gateways)
-            except BadRequest as error:
-                answer = Answer(400, str(error).encode() + b"\n", b"text/plain")
-            else:
-                answer = await self._answer(link, exchange)
-        if answer is None:
-            return False
-        return await self._write(link, answer, last=self.leaving or self.open > self.most)
+            if end.ending in PLAIN_STATUS:
+                self._write(Answer(PLAIN_STATUS[end.ending]))
+            self.scope.cancel()
+            return
+        if self.link.partial() and self.scope.deadline == float("inf"):
+            self.scope.deadline = trio.current_time() + PATIENCE
+            if self.link.http.they_are_waiting_for_100_continue:
+                self.link.put(h11.InformationalResponse(status_code=100, headers=[]))
 
-    def _plain(self, message: Message) -> Answer | None:
-        """Requests that are no RPCs."""
+    def _take(self, message: Message) -> None:
         path = message.head.target.partition(b"?")[0]
         if path == b"/-/ready" and message.head.method == b"GET":
-            return Answer(503 if self.leaving else 200)
-        return Answer(404) if path.startswith(b"/-/") else None
-
-    async def _answer(self, link: Link, exchange: Exchange) -> Answer | None:
-        """The keeper's answer; None if the client goes away before it."""
-        await self.queue.send(Came(exchange))
-        gone = False
-        with exchange.answered:     # cancelled when the answer is there
+            self._write(Answer(503 if self.all.leaving else 200))
+        elif path.startswith(b"/-/"):
+            self._write(Answer(404))
+        else:
             try:
-                while not gone:
-                    if link.buffered > LARGEST_BODY:    # a client that sends on without an answer waits
-                        await trio.sleep_forever()
-                    gone = not await link.fill()
-            except Break:
-                gone = True
-        if gone:
-            await self.queue.send(Left(exchange))
-            return None
-        return exchange.answer
-
-    async def _write(self, link: Link, answer: Answer, last: bool) -> bool:
+                exchange = Exchange(message, self.all.here.names, self.all.here.birth.gateways, self._answer)
+            except BadRequest as error:
+                self._write(Answer(400, str(error).encode() + b"\n", b"text/plain"))
+            else:
+                self.exchange = exchange
+                self.all.tell(Came(exchange))
+
+    def _answer(self, answer: Answer) -> None:
+        self.exchange = None
+        try:
+            self._write(answer)
+        except Break:
+            self.scope.cancel()
+        else:
+            if self.link.buffered:      # the next request came before this answer
+                self._go_on()
+
+    def _write(self, answer: Answer) -> None:
+        """Writes an answer; what the socket has no room for is written by a task of its own."""
+        if self.link.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
         headers = [(b"content-length", b"%d" % len(answer.body))]
         if answer.content_type:
             headers.append((b"content-type", answer.content_type))
         if answer.retry_after:
             headers.append((b"retry-after", b"%.3f" % answer.retry_after))
+        last = self.all.leaving or len(self.all.open) > self.all.most
         if last:
             headers.append((b"connection", b"close"))
-        if link.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return False
+        left = self.link.put(h11.Response(status_code=answer.status, headers=headers), answer.body)
+        last = not self.link.renew() or last
+        if left:
+            self.all.nursery.start_soon(self._write_rest, left, last)
+        elif last:
+            self.scope.cancel()
+
+    async def _write_rest(self, left: list[memoryview], last: bool) -> None:
         with trio.CancelScope(deadline=trio.current_time() + PATIENCE) as scope:
-            await link.write(h11.Response(status_code=answer.status, headers=headers), answer.body)
-        return not scope.cancelled_caught and not last and link.renew()
+            try:
+                await self.link.drain(left)
+            except (Break, OSError, trio.ClosedResourceError):
+                last = True
+        if last or scope.cancelled_caught:
+            self.scope.cancel()
--- a/oakfork/sockets/configuration.py
+++ b/oakfork/sockets/configuration.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any, Mapping
 
-from oakfork.birth import read_settings
+from oakfork.birth import read_settings, tenths
 from oakfork.interface import Birth
 
 Address = tuple[str, int]
@@ -36,6 +36,7 @@
     idle_patience: float
     count_patience: float
     longest_deadline: float
+    tick: int           # tenths of a millisecond: the module's timers need not be finer
     known: Mapping[str, Any]
     names: Names
     birth: Birth
@@ -90,7 +91,7 @@
         idle_patience=limits.get("conn-idle-ms", 15_000.0) / 1000,
         count_patience=specifics.get("count-limit-ms", 50.0) / 1000,
         longest_deadline=max((method.deadline for method in birth.methods), default=0) / 10_000,
-        known=told.get("known", {}),
+        tick=tenths(info.get("tick-ms", 1.0)), known=told.get("known", {}),
         names=Names(encoded(numbered(info.get("classes", ()), "name")),
                     encoded(numbered(info.get("tiers-of-service", ()), "name")), numbered(info.get("zones", ()))),
         birth=birth)
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -1,5 +1,5 @@
 """A client's RPC at the door: read from its head, answered once."""
-from typing import Mapping, NamedTuple
+from typing import Callable, Mapping, NamedTuple
 from urllib.parse import parse_qs
 
 import trio
@@ -8,9 +8,10 @@
 from oakfork.sockets.configuration import Names
 from oakfork.sockets.heads import Header, Message
 
-# These speak of one connection (RFC 9110, 7.6.1) or are written anew for the next.
+# These speak of one connection (RFC 9110, 7.6.1), are written anew for the next, or are for the gateway alone.
 NOT_PASSED_ON = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-                           b"upgrade", b"expect", b"content-length", b"x-remaining-ms"))
+                           b"upgrade", b"expect", b"content-length", b"x-remaining-ms",
+                           b"x-lane", b"x-tier", b"x-call-terms", b"x-resent"))
 
 LARGEST_CUSTOMER = 1 << 33      # PROTOCOL
 
@@ -44,11 +45,10 @@
 class Exchange:
     """An RPC from its head to its answer, with its call-outs."""
 
-    def __init__(self, message: Message, names: Names, gateways: int) -> None:
+    def __init__(self, message: Message, names: Names, gateways: int, answer: Callable[[Answer], None]) -> None:
         self.received = trio.current_time()
         self.message = message
-        self.answer: Answer | None = None
-        self.answered = trio.CancelScope()
+        self.answer = answer            # called once
         self.call_outs: dict[int, CallOut] = {}     # emptied as they end
         self.sent = 0
         headers = dict(message.head.headers)
@@ -68,12 +68,6 @@
         if message.body or message.head.method != b"GET":
             self.passed_on.append((b"content-length", b"%d" % len(message.body)))
 
-    def finish(self, answer: Answer) -> None:
-        """Only the first answer counts."""
-        if self.answer is None:
-            self.answer = answer
-            self.answered.cancel()
-
 
 def _customer(target: bytes) -> int:
     try:
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -36,7 +36,7 @@
             # Two fifths of the descriptors for each side; the rest for the other parties and the interpreter.
             servers = Servers(here.sockets * 2 // 5, here.connect_patience, here.idle_patience,
                               here.birth.report_names)
-            clients = Clients(here, here.sockets * 2 // 5, queue, log)
+            clients = Clients(here, here.sockets * 2 // 5, queue, nursery, log)
             discovery = Discovery(here, queue, log)
             peers = Peers(here, queue) if here.peer_listen else None
             counter = Counter(here, queue) if here.counter else None
@@ -47,11 +47,11 @@
                 nursery.start_soon(peers.run)
             if counter:
                 nursery.start_soon(counter.run)
-            nursery.start_soon(clients.run, nursery)
+            nursery.start_soon(clients.run)
             log.info("serving", listen="%s:%d" % here.listen)
             async for _ in signals:
                 break
-            log.info("leaving", connections=clients.open)
+            log.info("leaving", connections=len(clients.open))
             clients.leave()
             await trio.sleep(LINGER)
             clients.accepting.cancel()
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -31,7 +31,7 @@
     def __init__(self, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
         self.sock = sock
         self.http = h11.Connection(role, max_incomplete_event_size=LARGEST_HEAD)
-        self.buffered = 0       # bytes received since the last whole message
+        self.buffered = 0       # bytes received that are not of a whole message yet
         self.head: h11.Request | h11.Response | None = None    # of the message being read
         self.body: list[bytes] = []
         self.size = 0
@@ -69,7 +69,8 @@
                 self.body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 message = Message(self.head, b"".join(self.body))
-                self.head, self.body, self.size, self.buffered = None, [], 0, 0
+                self.head, self.body, self.size = None, [], 0
+                self.buffered = len(self.http.trailing_data[0])
                 return message
             elif isinstance(event, h11.ConnectionClosed):
                 raise Break(Ending.ENDED)
@@ -79,31 +80,44 @@
     async def read(self) -> Message:
         """The next whole message."""
         while (message := self.parse()) is None:
-            if self.http.they_are_waiting_for_100_continue:
-                await self.write(h11.InformationalResponse(status_code=100, headers=[]))
             await self.fill()
         return message
 
-    async def write(self, head: h11.Request | h11.Response | h11.InformationalResponse, body: bytes = b"") -> None:
-        """Writes a message with one gathered write, and the rest of it with more where the buffer is full."""
+    def partial(self) -> bool:
+        """Whether a message has begun and is not whole."""
+        return self.buffered > 0
+
+    def put(self, head: h11.Request | h11.Response | h11.InformationalResponse, body: bytes = b"") -> list[memoryview]:
+        """Writes a message with one gathered write; what the socket had no room for is left to drain."""
         chunks = list(self.http.send_with_data_passthrough(head))
         if not isinstance(head, h11.InformationalResponse):
             if body:
                 chunks += self.http.send_with_data_passthrough(h11.Data(data=body))
             chunks += self.http.send_with_data_passthrough(h11.EndOfMessage())
-        left = [memoryview(chunk) for chunk in chunks if chunk]
+        return self._push([memoryview(chunk) for chunk in chunks if chunk])
+
+    async def drain(self, left: list[memoryview]) -> None:
         while left:
-            try:
-                sent = self.sock.sendmsg(left)
-            except BlockingIOError:
-                await trio.lowlevel.wait_writable(self.sock)
-                continue
-            except OSError:
-                raise Break(Ending.UNSENT) from None
-            while left and sent >= len(left[0]):
-                sent -= len(left.pop(0))
-            if sent:
-                left[0] = left[0][sent:]
+            await trio.lowlevel.wait_writable(self.sock)
+            left = self._push(left)
+
+    async def write(self, head: h11.Request | h11.Response, body: bytes = b"") -> None:
+        left = self.put(head, body)
+        if left:
+            await self.drain(left)
+
+    def _push(self, left: list[memoryview]) -> list[memoryview]:
+        try:
+            sent = self.sock.sendmsg(left)
+        except BlockingIOError:
+            return left
+        except OSError:
+            raise Break(Ending.UNSENT) from None
+        while left and sent >= len(left[0]):
+            sent -= len(left.pop(0))
+        if sent:
+            left[0] = left[0][sent:]
+        return left
 
     def renew(self) -> bool:
         """Makes ready for the next exchange; False if the connection must be closed."""
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -18,7 +18,7 @@
 from oakfork.sockets.discovery import Discovery, rows
 from oakfork.sockets.endings import STATUS, Ending
 from oakfork.sockets.exchange import Answer, CallOut, Exchange
-from oakfork.sockets.messages import Came, CallOutOver, Left, Listed, Told
+from oakfork.sockets.messages import Came, CallOutOver, Left, Listed, Told, tell
 from oakfork.sockets.peers import Peers
 from oakfork.sockets.servers import Servers
 
@@ -40,6 +40,7 @@
         self.wakes: list[tuple[int, int]] = []              # when, token; emptied as they come
         self.alarm = trio.CancelScope()                     # comes when the first of them is due
         self.latest = 0
+        self.grain = here.tick
         self.own: deque[face.Event] = deque()               # events that the commands themselves cause
         self.zeal = here.birth.report_how == "on_probe"
         self.brain = Brain(here.birth, self.now())
@@ -69,12 +70,13 @@
             await self.queue.send(None)
 
     def _wake(self) -> None:
-        """Brings the timers that are due. One due within TOO_SHORT comes now, with the clock set to its time."""
+        """Brings the timers that are due. One due within TOO_SHORT comes now, with the clock set to its time; one that
+        nothing else wakes the keeper for waits for others, for as long as the settings' tick is."""
         while self.wakes and self.wakes[0][0] <= self._real() + TOO_SHORT:
             due, token = heapq.heappop(self.wakes)
             self.latest = max(self.latest, due)
             self._handle(face.TimeCame(token))
-        self.alarm.deadline = self.wakes[0][0] / 10_000 - self.epoch if self.wakes else math.inf
+        self.alarm.deadline = (self.wakes[0][0] + self.grain) / 10_000 - self.epoch if self.wakes else math.inf
 
     def _take(self, told: Told) -> None:
         match told:
@@ -106,7 +108,7 @@
         ticket.out -= 1
         if ending is Ending.ANSWERED and not ticket.over:     # the first answer goes to the client by itself
             ticket.over = True
-            exchange.finish(Answer(200, message.body, message.header(b"content-type")))
+            exchange.answer(Answer(200, message.body, message.header(b"content-type")))
         elapsed = int((trio.current_time() - call_out.started) * 10_000)
         self._handle(face.CallOutEnded(index, call_out.number, call_out.server, elapsed, STATUS[ending], ticket.over,
                                        0.0, self.servers.load(message)), index)
@@ -165,7 +167,7 @@
         ticket = self.door.tickets[rpc]
         if ticket and not ticket.over:
             ticket.over = True
-            ticket.true_id.finish(answer)
+            ticket.true_id.answer(answer)
 
     def _send(self, rpc: int, server: int, until: int) -> None:
         ticket = self.door.tickets[rpc]
@@ -192,13 +194,13 @@
                                                       left)
         if call_out.scope.cancelled_caught and not call_out.withdrawn:
             ending = Ending.SILENT
-        await self.queue.send(CallOutOver(exchange, call_out, ending, message))
+        await tell(self.queue, CallOutOver(exchange, call_out, ending, message))
 
     async def _probe(self, server: int) -> None:
         started = trio.current_time()
         ending, message = await self.servers.probe(self.addresses[server], self.zeal)
         elapsed = int((trio.current_time() - started) * 10_000)
-        await self.queue.send(face.ProbeEnded(server, STATUS[ending], elapsed, self.servers.load(message)))
+        await tell(self.queue, face.ProbeEnded(server, STATUS[ending], elapsed, self.servers.load(message, probe=True)))
 
     def _entries(self, listed: Sequence[Mapping[str, Any]]) -> tuple[face.ServerEntry, ...]:
         """The entries that make sense; a list with others is used without those."""
--- a/oakfork/sockets/peers.py
+++ b/oakfork/sockets/peers.py
@@ -15,16 +15,17 @@
     def __init__(self, here: Surroundings, queue: trio.MemorySendChannel[Told]) -> None:
         self.here, self.queue = here, queue
         self.numbers = {address: number for number, address in enumerate(here.peers)}
-        self.out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.out.bind(here.peer_listen)
-        self.sock = trio.socket.from_stdlib_socket(self.out)    # makes it non-blocking
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(here.peer_listen)
 
     async def run(self) -> None:
         """Takes in datagrams; what the queue has no room for is lost, as datagrams may be."""
         while True:
+            await trio.lowlevel.wait_readable(self.sock)
             try:
-                data, sender = await self.sock.recvfrom(LARGEST + 1)
-            except OSError:     # an earlier datagram of ours found nobody there
+                data, sender = self.sock.recvfrom(LARGEST + 1)
+            except OSError:     # nothing after all, or an earlier datagram of ours found nobody there
                 continue
             if sender in self.numbers:
                 try:
@@ -39,6 +40,6 @@
         if address is None or len(data) > LARGEST:
             return
         try:
-            self.out.sendto(data, address)
+            self.sock.sendto(data, address)
         except OSError:     # no room in the buffer, or nobody there: lost, as any datagram may be
             pass
--- a/oakfork/sockets/servers.py
+++ b/oakfork/sockets/servers.py
@@ -96,11 +96,13 @@
                 if not kept:
                     del self.idle[address]
 
-    def load(self, message: Message | None) -> tuple[float, ...]:
-        """The load report, in the settings' order; empty if there is none."""
+    def load(self, message: Message | None, probe: bool = False) -> tuple[float, ...]:
+        """The load report, in the settings' order; empty if there is none. A probe may have it as its body."""
         if message is None or not self.names:
             return ()
-        text = message.header(b"x-pressure") or (message.body if b"=" in message.body[:64] else b"")
+        text = message.header(b"x-pressure") or (message.body if probe else b"")
+        if not text:
+            return ()
         values = {}
         for part in text.split(b","):
             name, _, value = part.strip().partition(b"=")
