Integration tests that start the program; lint; a Makefile; mended what the tests found

Found and mended: a configuration that is not an object ended in a traceback; an RPC in HTTP/1.0 without Host, HEAD and CONNECT would have ended a task with an exception; idle clients could take all descriptors; a slow second request could end the connection of one that waited. Build now looks whether the libraries are there, not only the folder.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+PYTHON ?= python3
+
+.PHONY: build test lint run clean
+
+build: .venv/built
+
+.venv/built: requirements.txt requirements-dev.txt
+	test -d .venv || $(PYTHON) -m venv .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+	touch $@
+
+test: build
+	.venv/bin/python -m pytest -q
+
+lint: build
+	.venv/bin/ruff check oakfork tests
+
+# LB_CONFIG names the configuration, e.g.: make run LB_CONFIG=config.json
+run: build
+	LB_CONFIG=$(LB_CONFIG) .venv/bin/python -m oakfork
+
+clean:
+	rm -rf .venv
--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -14,23 +14,21 @@
 
 BACKLOG = 512
 PATIENCE = 10.0     # seconds for a whole request once begun, and for a client to take its answer
+METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))    # whose answers have plain bodies
 PLAIN_STATUS = {Ending.MALFORMED: 400, Ending.OVERSIZED: 413, Ending.SILENT: 408}
 
 
 class Clients:
-    """All connections of clients. Over `most` of them, an answer is its connection's last."""
+    """All connections of clients. Over `most` of them an answer is its connection's last, and idle ones make room."""
 
-    def __init__(self, here: Surroundings, most: int, queue: trio.MemorySendChannel[Told], nursery: trio.Nursery,
-                 log: BoundLogger) -> None:
+    def __init__(self, here: Surroundings, sock: socket.socket, most: int, queue: trio.MemorySendChannel[Told],
+                 nursery: trio.Nursery, log: BoundLogger) -> None:
         self.here, self.most, self.queue, self.nursery, self.log = here, most, queue, nursery, log
         self.leaving = False
-        self.open: set[Client] = set()
+        self.open: dict[Client, None] = {}      # the oldest first
         self.empty = trio.Event()       # set once it is leaving and all connections are closed
         self.accepting = trio.CancelScope()
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.setblocking(False)
-        self.sock.bind(here.listen)
+        self.sock = sock
         self.sock.listen(BACKLOG)
 
     async def run(self) -> None:
@@ -45,7 +43,9 @@
                         await trio.sleep(0.05)      # until others have closed theirs
                     continue
                 client = Client(self, sock)
-                self.open.add(client)
+                if len(self.open) >= self.most:     # guards against idle clients that leave no descriptor to others
+                    next((old for old in self.open if old.leave_if_idle()), None)
+                self.open[client] = None
                 self.nursery.start_soon(client.serve)
         self.sock.close()
         self.leave()
@@ -58,7 +58,7 @@
         self.left(None)
 
     def left(self, client: "Client | None") -> None:
-        self.open.discard(client)
+        self.open.pop(client, None)
         if self.leaving and not self.open:
             self.empty.set()
 
@@ -95,14 +95,17 @@
         except Break:
             pass    # the client is gone
         finally:
+            trio.lowlevel.notify_closing(self.link.sock)
             self.link.close()
             if self.exchange:
                 self.all.tell(Left(self.exchange))
             self.all.left(self)
 
-    def leave_if_idle(self) -> None:
-        if not self.exchange and not self.link.buffered:
+    def leave_if_idle(self) -> bool:
+        idle = not self.exchange and not self.link.buffered and not self.scope.cancel_called
+        if idle:
             self.scope.cancel()
+        return idle
 
     def _go_on(self) -> None:
         """Takes what has come whole, one request at a time."""
@@ -115,14 +118,16 @@
                 self._write(Answer(PLAIN_STATUS[end.ending]))
             self.scope.cancel()
             return
-        if self.link.partial() and self.scope.deadline == float("inf"):
+        if self.link.partial() and not self.exchange and self.scope.deadline == float("inf"):
             self.scope.deadline = trio.current_time() + PATIENCE
             if self.link.http.they_are_waiting_for_100_continue:
                 self.link.put(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _take(self, message: Message) -> None:
         path = message.head.target.partition(b"?")[0]
-        if path == b"/-/ready" and message.head.method == b"GET":
+        if message.head.method not in METHODS:
+            self._write(Answer(405))
+        elif path == b"/-/ready":
             self._write(Answer(503 if self.all.leaving else 200))
         elif path.startswith(b"/-/"):
             self._write(Answer(404))
@@ -139,11 +144,10 @@
         self.exchange = None
         try:
             self._write(answer)
-        except Break:
-            self.scope.cancel()
-        else:
             if self.link.buffered:      # the next request came before this answer
                 self._go_on()
+        except Break:
+            self.scope.cancel()
 
     def _write(self, answer: Answer) -> None:
         """Writes an answer; what the socket has no room for is written by a task of its own."""
--- a/oakfork/sockets/configuration.py
+++ b/oakfork/sockets/configuration.py
@@ -59,9 +59,9 @@
             told = json.load(file)
     except (OSError, ValueError) as error:
         raise ConfigurationError(f"{path}: {error}") from error
-    told |= {key: environment[name] for key, name in
-             (("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("discovery", "LB_DISCOVERY")) if environment.get(name)}
+    variables = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
     try:
+        told |= {key: environment[variable] for key, variable in variables.items() if environment.get(variable)}
         return _surroundings(told)
     except (TypeError, ValueError, AttributeError, KeyError) as error:
         raise ConfigurationError(f"{path}: not usable: {error!r}") from error
--- a/oakfork/sockets/counter.py
+++ b/oakfork/sockets/counter.py
@@ -47,9 +47,9 @@
             try:
                 link = link or await connect(self.here.counter, self.here.count_patience)
                 written = True
-                await link.write(h11.Request(
-                    method="POST", target=f"/counters/{call.name:x}?by={call.amount:.6f}&expire_ms={call.kept_for // 10}",
-                    headers=[("Host", "%s:%d" % self.here.counter), ("Content-Length", "0")]))
+                target = f"/counters/{call.name:x}?by={call.amount:.6f}&expire_ms={max(1, call.kept_for // 10)}"
+                await link.write(h11.Request(method="POST", target=target, headers=[
+                    ("Host", "%s:%d" % self.here.counter), ("Content-Length", "0")]))
                 message = await link.read()
                 ending, total = _result(message)
                 if not link.renew():
--- a/oakfork/sockets/discovery.py
+++ b/oakfork/sockets/discovery.py
@@ -1,6 +1,6 @@
 """Keeps up with the list of servers by watches, one after the other."""
 import json
-from typing import Any
+from typing import Any, Mapping
 
 import h11
 import trio
@@ -21,6 +21,7 @@
         self.version = here.known.get("version")
         self.asked = trio.Event()       # set while a watch is wanted
         self.watching = trio.CancelScope()
+        self.broken = False             # told in the log once, until it goes on
         if not here.birth.asks_list:
             self.asked.set()
 
@@ -32,7 +33,9 @@
                 try:
                     await self._watch()
                 except Break as end:
-                    self.log.warning("the watch of the server list broke", ending=end.ending.name)
+                    if not self.broken:
+                        self.log.warning("the watch of the server list broke", ending=end.ending.name)
+                    self.broken = True
                     if self.here.birth.asks_list:       # the module asks again
                         self.asked = trio.Event()
                         await self.queue.send(Listed(False, True, ()))
@@ -83,14 +86,14 @@
             except (ValueError, TypeError, KeyError):
                 self.version = None     # what was missed is not known: the whole list next
                 raise Break(Ending.MALFORMED) from None
-            self.version = version
+            self.version, self.broken = version, False
             if servers or complete:
                 await self.queue.send(Listed(complete, False, servers))
             return
         raise Break(Ending.SILENT)
 
 
-def rows(known: dict[str, Any]) -> list:
+def rows(known: Mapping[str, Any]) -> list:
     """The list that a gateway has when it starts."""
     servers = known.get("servers", ())
     return list(servers) if isinstance(servers, list) else []
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -2,6 +2,7 @@
 from typing import Callable, Mapping, NamedTuple
 from urllib.parse import parse_qs
 
+import h11
 import trio
 
 from oakfork.birth import tenths
@@ -64,9 +65,17 @@
         self.first_gateway = int(terms.get(b"first", 0))
         self.spread = int(terms.get(b"spread", gateways))
         self.repeated = headers.get(b"x-resent") == b"1"
-        self.passed_on: list[Header] = [header for header in message.head.headers if header[0] not in NOT_PASSED_ON]
+        self.headers: list[Header] = [header for header in message.head.headers if header[0] not in NOT_PASSED_ON]
+        if b"host" not in headers:      # HTTP/1.0 may leave it out
+            self.headers.append((b"host", b"unknown"))
         if message.body or message.head.method != b"GET":
-            self.passed_on.append((b"content-length", b"%d" % len(message.body)))
+            self.headers.append((b"content-length", b"%d" % len(message.body)))
+
+    def passed_on(self, left: float) -> h11.Request:
+        """The head for a server that is waited for so many seconds."""
+        head = self.message.head
+        return h11.Request(method=head.method, target=head.target,
+                           headers=[*self.headers, (b"x-remaining-ms", b"%d" % max(0, left * 1000))])
 
 
 def _customer(target: bytes) -> int:
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -1,6 +1,7 @@
 """Puts the parts of a gateway together, and takes it out of service on SIGTERM."""
 import logging
 import signal
+import socket
 import sys
 
 import structlog
@@ -10,6 +11,7 @@
 from oakfork.sockets.configuration import Surroundings
 from oakfork.sockets.counter import Counter
 from oakfork.sockets.discovery import Discovery
+from oakfork.sockets.heads import bound
 from oakfork.sockets.keeper import Keeper
 from oakfork.sockets.peers import Peers
 from oakfork.sockets.servers import Servers
@@ -30,24 +32,27 @@
 
 async def run(here: Surroundings) -> None:
     log = logger(here.name)
+    try:
+        listener = bound(socket.SOCK_STREAM, here.listen)
+        datagrams = bound(socket.SOCK_DGRAM, here.peer_listen) if here.peer_listen else None
+    except OSError as error:
+        log.error("an address of its own can't be had", error=str(error))
+        sys.exit(1)
     queue, inbox = trio.open_memory_channel(QUEUE)
-    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             # Two fifths of the descriptors for each side; the rest for the other parties and the interpreter.
             servers = Servers(here.sockets * 2 // 5, here.connect_patience, here.idle_patience,
                               here.birth.report_names)
-            clients = Clients(here, here.sockets * 2 // 5, queue, nursery, log)
+            clients = Clients(here, listener, here.sockets * 2 // 5, queue, nursery, log)
             discovery = Discovery(here, queue, log)
-            peers = Peers(here, queue) if here.peer_listen else None
+            peers = Peers(here, datagrams, queue) if datagrams else None
             counter = Counter(here, queue) if here.counter else None
             keeper = Keeper(here, inbox, queue, servers, discovery, peers, counter, nursery, log)
-            for task in (keeper.run, keeper.tick, servers.sweep, discovery.run):
-                nursery.start_soon(task)
-            if peers:
-                nursery.start_soon(peers.run)
-            if counter:
-                nursery.start_soon(counter.run)
-            nursery.start_soon(clients.run)
+            for part in (keeper, clients, servers, discovery, peers, counter):
+                if part is not None:
+                    nursery.start_soon(part.run)
+            nursery.start_soon(keeper.tick)
             log.info("serving", listen="%s:%d" % here.listen)
             async for _ in signals:
                 break
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -89,11 +89,14 @@
 
     def put(self, head: h11.Request | h11.Response | h11.InformationalResponse, body: bytes = b"") -> list[memoryview]:
         """Writes a message with one gathered write; what the socket had no room for is left to drain."""
-        chunks = list(self.http.send_with_data_passthrough(head))
-        if not isinstance(head, h11.InformationalResponse):
-            if body:
-                chunks += self.http.send_with_data_passthrough(h11.Data(data=body))
-            chunks += self.http.send_with_data_passthrough(h11.EndOfMessage())
+        try:
+            chunks = list(self.http.send_with_data_passthrough(head))
+            if not isinstance(head, h11.InformationalResponse):
+                if body:
+                    chunks += self.http.send_with_data_passthrough(h11.Data(data=body))
+                chunks += self.http.send_with_data_passthrough(h11.EndOfMessage())
+        except h11.LocalProtocolError:      # not to be said on this connection, as it stands
+            raise Break(Ending.UNSENT) from None
         return self._push([memoryview(chunk) for chunk in chunks if chunk])
 
     async def drain(self, left: list[memoryview]) -> None:
@@ -140,6 +143,16 @@
         self.sock.close()
 
 
+def bound(kind: socket.SocketKind, address: tuple[str, int]) -> socket.socket:
+    """A socket of ours at an address; raises OSError."""
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.setblocking(False)
+    if kind == socket.SOCK_STREAM:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    return sock
+
+
 async def connect(address: tuple[str, int], patience: float) -> Link:
     """A new connection to an HTTP server."""
     try:
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -5,7 +5,6 @@
 from collections import deque
 from typing import Any, Mapping, Sequence
 
-import h11
 import trio
 from structlog.stdlib import BoundLogger
 
@@ -18,7 +17,7 @@
 from oakfork.sockets.discovery import Discovery, rows
 from oakfork.sockets.endings import STATUS, Ending
 from oakfork.sockets.exchange import Answer, CallOut, Exchange
-from oakfork.sockets.messages import Came, CallOutOver, Left, Listed, Told, tell
+from oakfork.sockets.messages import CallOutOver, Came, Left, Listed, Told, tell
 from oakfork.sockets.peers import Peers
 from oakfork.sockets.servers import Servers
 
@@ -42,7 +41,7 @@
         self.latest = 0
         self.grain = here.tick
         self.own: deque[face.Event] = deque()               # events that the commands themselves cause
-        self.zeal = here.birth.report_how == "on_probe"
+        self.with_load = here.birth.report_how == "on_probe"
         self.brain = Brain(here.birth, self.now())
         self._handle(face.ServerList(True, False, self._entries(rows(here.known))))
 
@@ -187,18 +186,15 @@
         ending, message = Ending.GIVEN_UP, None
         with call_out.scope:
             left = call_out.scope.deadline - trio.current_time()
-            head = exchange.message.head
-            request = h11.Request(method=head.method, target=head.target, headers=[
-                *exchange.passed_on, (b"x-remaining-ms", b"%d" % (left * 1000))])
-            ending, message = await self.servers.call(self.addresses[call_out.server], request, exchange.message.body,
-                                                      left)
+            ending, message = await self.servers.call(self.addresses[call_out.server], exchange.passed_on(left),
+                                                      exchange.message.body, left)
         if call_out.scope.cancelled_caught and not call_out.withdrawn:
             ending = Ending.SILENT
         await tell(self.queue, CallOutOver(exchange, call_out, ending, message))
 
     async def _probe(self, server: int) -> None:
         started = trio.current_time()
-        ending, message = await self.servers.probe(self.addresses[server], self.zeal)
+        ending, message = await self.servers.probe(self.addresses[server], self.with_load)
         elapsed = int((trio.current_time() - started) * 10_000)
         await tell(self.queue, face.ProbeEnded(server, STATUS[ending], elapsed, self.servers.load(message, probe=True)))
 
--- a/oakfork/sockets/peers.py
+++ b/oakfork/sockets/peers.py
@@ -12,12 +12,10 @@
 
 
 class Peers:
-    def __init__(self, here: Surroundings, queue: trio.MemorySendChannel[Told]) -> None:
+    def __init__(self, here: Surroundings, sock: socket.socket, queue: trio.MemorySendChannel[Told]) -> None:
         self.here, self.queue = here, queue
         self.numbers = {address: number for number, address in enumerate(here.peers)}
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.setblocking(False)
-        self.sock.bind(here.peer_listen)
+        self.sock = sock
 
     async def run(self) -> None:
         """Takes in datagrams; what the queue has no room for is lost, as datagrams may be."""
--- a/oakfork/sockets/servers.py
+++ b/oakfork/sockets/servers.py
@@ -20,7 +20,7 @@
         self.usable = max(0.0, idle_patience - EARLY)
         self.names = [name.encode() for name in names]
         self.open = 0
-        self.idle: dict[Address, list[tuple[float, Link]]] = {}    # emptied by sweep
+        self.idle: dict[Address, list[tuple[float, Link]]] = {}    # emptied by run
 
     async def call(self, address: Address, request: h11.Request, body: bytes, patience: float
                    ) -> tuple[Ending, Message | None]:
@@ -85,7 +85,7 @@
         for _, link in self.idle.pop(address, ()):
             self._drop(link)
 
-    async def sweep(self) -> None:
+    async def run(self) -> None:
         """Closes what has stood idle too long to be used again."""
         while True:
             await trio.sleep(EARLY)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -81,7 +81,8 @@
                                                50.0, 0, 0, 1, 0, 0)
     run(batch(1000.0, context(0), launch(), manifest(0, 1), discovery(0)), host=host)
     for rpc in range(200):
-        run(batch(2000.0 + rpc * 300, context(0), accept(rpc)), batch(2050.0 + rpc * 300, context(0), ok(rpc)), host=host)
+        at = 2000.0 + rpc * 300
+        run(batch(at, context(0), accept(rpc)), batch(at + 50, context(0), ok(rpc)), host=host)
     assert len(host.instances[0].door.tickets) <= 2 and not host.instances[0].door.rpcs
 
 
@@ -111,7 +112,8 @@
 
 
 def test_the_end_of_input_between_frames_is_no_error():
-    ended = subprocess.run([sys.executable, "-m", "oakfork.wirehost"], input=batch(1.0), capture_output=True, timeout=30)
+    command = [sys.executable, "-m", "oakfork.wirehost"]
+    ended = subprocess.run(command, input=batch(1.0), capture_output=True, timeout=30)
     assert (ended.returncode, ended.stdout, ended.stderr) == (0, bytes(4), b"")
 
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,10 +1,9 @@
 import pytest
+from world import METHODS, PLANS, World, arrival, birth, entry
 
-from oakfork import interface as face
-from oakfork import peerwire as wire
+from oakfork import interface as face, peerwire as wire
 from oakfork.brain import Brain
 from oakfork.interface import SECOND, State, Status
-from world import METHODS, PLANS, World, arrival, birth, entry
 
 
 def gateway(index=0, gateways=1, servers=4, **changes) -> Brain:
@@ -204,11 +203,12 @@
 def test_a_failing_server_is_set_aside_and_comes_back_by_a_doubling_trickle():
     brain = gateway(servers=3, plans=())
     brain.birth = birth(plans=(face.Plan(0, 0, 0, 0, 0, 0, 1, 0, 0),))
-    rpc, chosen = 0, []
+    last, chosen = 0, []
     for now in range(100, 30_000, 300):     # seven at a time; server 0 fails for a second, then is well again
         sends = []
-        for rpc in range(rpc + 1, rpc + 8):
+        for rpc in range(last + 1, last + 8):
             sends += [c for c in brain.handle(now, arrival(rpc)) if isinstance(c, face.Send)]
+        last += 7
         chosen += [(now, send.server) for send in sends]
         for send in sends:
             failed = send.server == 0 and now < SECOND
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,557 @@
+"""The real gateway as a program, spoken to over sockets; servers, discovery and the counter are stand-ins here."""
+import http.client
+import json
+import os
+import random
+import re
+import select
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from contextlib import closing, contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+import trio
+
+from oakfork import interface as face
+from oakfork.interface import NEVER_RAN, Status
+from oakfork.sockets import configuration
+from oakfork.sockets.counter import Counter
+from oakfork.sockets.endings import STATUS, Break, Ending
+from oakfork.sockets.exchange import BadRequest, Exchange
+from oakfork.sockets.heads import LARGEST_BODY, Message, connect
+
+CUSTOMER = "00000000b4d65521"
+
+
+class StandIn(ThreadingHTTPServer):
+    """A party beside the gateway; `act` answers a request, and `seen` has what came whole."""
+    daemon_threads = True
+    request_queue_size = 64
+
+    def __init__(self, act):
+        self.act, self.seen, self.lock = act, [], threading.Lock()
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.address = "127.0.0.1:%d" % self.server_address[1]
+        threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        pass    # gateways break connections on purpose
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def do_GET(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        with self.server.lock:
+            self.server.seen.append((self.command, self.path, dict(self.headers), body))
+        self.server.act(self, body)
+
+    do_POST = do_PUT = do_GET
+
+    def log_message(self, *args):
+        pass
+
+    def reply(self, status, body=b"", **headers):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Discovery(StandIn):
+    """An agent that tells one list, and changes of it to those who watch."""
+
+    def __init__(self, servers):
+        self.version, self.servers, self.changed = 1, servers, threading.Condition()
+        super().__init__(self.tell)
+
+    def tell(self, handler, _):
+        asked = re.search(r"from=(\d+)&hold_ms=(\d+)", handler.path)
+        with self.changed:
+            if asked:
+                self.changed.wait_for(lambda: self.version > int(asked[1]), int(asked[2]) / 1000)
+            told = {"version": self.version, "full": not asked, "servers": self.servers}
+        handler.reply(200, json.dumps(told).encode())
+
+    def change(self, servers):
+        with self.changed:
+            self.version, self.servers = self.version + 1, servers
+            self.changed.notify_all()
+
+
+def entry(number, address, **more):
+    return {"id": f"s-{number:08x}", "addr": address, "zone": "z", "kind": "k", "cell": 0, "state": "up", "weight": 1.0,
+            "started_ms": 0} | more
+
+
+def settings(gateways=1, index=0, **more):
+    def method(name, effect, **rest):
+        return {"name": name, "aim-ms": 1000.0, "deadline-ms": 2000.0, "effect": effect, "group": "cell",
+                "key-ttl-ms": 5000.0, "value": 1.0, "late-worth": 0.0, "streamed": False} | rest
+
+    return {"balancers": gateways, "index": index, "zones": ["z"], "zone": 0, "tick-ms": 4.0, "discovery": "automatic",
+            "classes": [method("read", "read_like"), method("seal", "idempotency_key"), method("hand", "unsafe")],
+            "tiers-of-service": [{"name": "basic", "refill": 0.1, "peak-units": 5.0},
+                                 {"name": "free", "refill": 0.0, "peak-units": 0.0}],
+            "limits": {"attempts-cap": 4, "cancel": True, "parallel-tries": True, "peers": gateways > 1,
+                       "probing": False, "retry-after": True, "conn-idle-ms": 15000.0, "connect-timeout-ms": 250.0},
+            "specifics": {"mail-per-s": 100.0, "units-top": 2, "shared-counter": True, "count-limit-ms": 200.0},
+            "invariants": {"stop-sending-within-ms": 500.0}, "stats": {"how": "off", "names": []}} | more
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with closing(socket.socket(socket.AF_INET, kind)) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % sock.getsockname()[1]
+
+
+def told(discovery, servers, **more):
+    return {"name": "n0", "listen": free_port(), "discovery": discovery, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "peers": [], "counter": "127.0.0.1:9",
+            "known": {"version": 1, "full": True, "servers": servers}, "settings": settings()} | more
+
+
+@contextmanager
+def started(folder, configuration_told):
+    """The program, ready; asserts that it has not ended by itself."""
+    path = folder / f"{configuration_told['name']}.json"
+    path.write_text(json.dumps(configuration_told))
+    environment = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+    process = subprocess.Popen([sys.executable, "-m", "oakfork"], env=environment | {"LB_CONFIG": str(path)})
+    try:
+        for _ in range(200):
+            try:
+                if rpc(configuration_told["listen"], path="/-/ready")[0] == 200:
+                    break
+            except OSError:
+                time.sleep(0.05)
+        yield process
+        assert process.poll() in (None, 0)
+    finally:
+        process.kill()
+        process.wait()
+
+
+class World:
+    """One gateway before a few servers."""
+
+    def __init__(self, folder, acts, states=(), **more):
+        self.servers = [StandIn(act) for act in acts]
+        self.list = [entry(i, server.address, **dict(states).get(i, {})) for i, server in enumerate(self.servers)]
+        self.discovery = Discovery(self.list)
+        self.told = told(self.discovery.address, self.list, **more)
+        self.at = self.told["listen"]
+        self.context = started(folder, self.told)
+
+    def __enter__(self):
+        self.process = self.context.__enter__()
+        return self
+
+    def __exit__(self, *error):
+        self.context.__exit__(*error)
+        for party in (*self.servers, self.discovery):
+            party.shutdown()
+            party.server_close()
+
+    def seen(self):
+        return [request for server in self.servers for request in server.seen]
+
+
+@pytest.fixture
+def world(tmp_path):
+    return lambda *acts, **more: World(tmp_path, acts, **more)
+
+
+def connection(at):
+    host, port = at.split(":")
+    return http.client.HTTPConnection(host, int(port), timeout=5)
+
+
+def headers(lane="read", tier="free", **more):
+    return {"X-Txn": "%016x" % random.getrandbits(64), "X-Lane": lane, "X-Tier": tier, "X-Remaining-Ms": "1500",
+            "X-Call-Terms": "units=1,spread=1,first=0"} | {key.replace("_", "-"): value for key, value in more.items()}
+
+
+def rpc(at, method="GET", path=f"/api?client={CUSTOMER}", body=None, link=None, **more):
+    link = link or connection(at)
+    link.request(method, path, body, headers(**more))
+    answer = link.getresponse()
+    return answer.status, answer.read(), answer.headers
+
+
+def echo(handler, body):
+    handler.reply(200, b"made for " + handler.headers["X-Txn"].encode() + b" " + body)
+
+
+def raw(at, data, wait=1.0):
+    """What comes back for some bytes, until the other side ends or is silent."""
+    host, port = at.split(":")
+    with closing(socket.create_connection((host, int(port)), timeout=wait)) as sock:
+        sock.sendall(data)
+        got = b""
+        try:
+            while chunk := sock.recv(65536):
+                got += chunk
+        except (TimeoutError, ConnectionResetError):
+            pass
+        return got
+
+
+def test_an_rpc_passes_on_unchanged(world):
+    with world(echo) as w:
+        status, body, answered = rpc(w.at, "POST", f"/api?client={CUSTOMER}&more=%20x", b"\x00body", lane="seal",
+                                     X_Txn="9b1f03aa5c7e2d41", Idempotency_Key="5c0f")
+        method, path, passed, came = w.seen()[0]
+        assert (status, body) == (200, b"made for 9b1f03aa5c7e2d41 \x00body")
+        assert (method, path, came) == ("POST", f"/api?client={CUSTOMER}&more=%20x", b"\x00body")
+        lower = {name.lower(): value for name, value in passed.items()}
+        assert lower["x-txn"] == "9b1f03aa5c7e2d41" and lower["idempotency-key"] == "5c0f"
+        assert 1000 < int(lower["x-remaining-ms"]) <= 1500 and "x-tier" not in lower
+        link = connection(w.at)     # many RPCs on one connection use one connection to the server
+        assert all(rpc(w.at, link=link)[0] == 200 for _ in range(5)) and len(w.seen()) == 6
+
+
+def test_beyond_the_quota_it_is_pushed_back_with_advice(world):
+    with world(echo) as w:
+        answers = [rpc(w.at, tier="basic") for _ in range(7)]
+        assert [status for status, _, _ in answers] == [200] * 5 + [503] * 2
+        assert float(answers[-1][2]["Retry-After"]) >= 5 and len(w.seen()) == 5
+        assert rpc(w.at, tier="basic", path="/api?client=0000000000000001")[0] == 200
+
+
+@pytest.mark.parametrize("turn", ["away", "error", "break", "silent"])
+def test_an_idempotent_rpc_goes_to_another_server(world, turn):
+    def act(handler, body):
+        if handler.path.startswith("/-/"):
+            return handler.reply(200)
+        with lock:
+            first = not asked
+            asked.append(handler)
+        if not first:
+            return echo(handler, body)
+        if turn == "away":
+            handler.reply(503, X_Turned_Away="1")
+        elif turn == "error":
+            handler.reply(500)
+        elif turn == "silent":
+            time.sleep(1)
+        handler.close_connection = True
+        return None
+
+    asked, lock = [], threading.Lock()
+    more = settings(limits=settings()["limits"] | {"probing": True}) if turn == "silent" else settings()
+    with world(act, act, settings=more) as w:
+        status, body, _ = rpc(w.at)
+        assert status == 200 and body.startswith(b"made for")
+        assert len({handler.server for handler in asked}) == 2
+
+
+@pytest.mark.parametrize("turn, status", [("away", 200), ("break", 502), ("error", 502)])
+def test_a_non_idempotent_rpc_runs_once_at_most(world, turn, status):
+    def act(handler, body):
+        with lock:
+            asked.append(handler)
+        if turn == "away" and len(asked) < 2:
+            return handler.reply(504, X_Turned_Away="1")
+        if turn == "error":
+            return handler.reply(500)
+        if turn == "break":
+            handler.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+            handler.close_connection = True
+            return None
+        return echo(handler, body)
+
+    asked, lock = [], threading.Lock()
+    with world(act, act) as w:
+        assert rpc(w.at, "POST", lane="hand", body=b"x")[0] == status
+        assert len(asked) == (2 if turn == "away" else 1)
+
+
+def test_a_refused_connection_never_ran(world):
+    with world(echo, echo) as w:
+        w.servers[0].shutdown()
+        w.servers[0].server_close()
+        assert all(rpc(w.at, "POST", lane="hand", body=b"x")[0] == 200 for _ in range(6))
+
+
+def test_an_answer_without_its_length_is_not_taken_for_whole(world):
+    def act(handler, body):
+        handler.wfile.write(b"HTTP/1.1 200 OK\r\n\r\ncut sho")
+        handler.close_connection = True
+
+    with world(act) as w:
+        assert rpc(w.at, "POST", lane="hand", body=b"x")[0] == 502
+
+
+def test_a_client_that_goes_away_ends_its_call_out(world):
+    def act(handler, body):
+        readable, _, _ = select.select([handler.connection], [], [], 5)
+        ended.append(bool(readable) and handler.connection.recv(1) == b"")
+        handler.close_connection = True
+
+    ended = []
+    with world(act) as w:
+        link = connection(w.at)
+        link.request("GET", f"/api?client={CUSTOMER}", None, headers())
+        time.sleep(0.2)
+        link.close()
+        for _ in range(40):
+            time.sleep(0.0 if ended else 0.05)
+        assert ended == [True]
+
+
+def test_the_deadline_brings_an_answer_in_time(world):
+    with world(lambda handler, body: time.sleep(3)) as w:
+        for lane, wanted in (("read", 503), ("hand", 502)):
+            begun = time.monotonic()
+            status, _, _ = rpc(w.at, "POST", lane=lane, body=b"x", X_Remaining_Ms="400")
+            assert status == wanted and 0.3 < time.monotonic() - begun < 0.5
+
+
+def test_changes_of_the_list_are_followed(world):
+    with world(echo, echo) as w:
+        for state in ({"state": "draining"}, {"state": "removed"}):
+            w.discovery.change([w.list[0] | state])
+            time.sleep(0.3)
+            before = len(w.servers[0].seen)
+            assert all(rpc(w.at)[0] == 200 for _ in range(8)) and len(w.servers[0].seen) == before
+        unusable = {"id": 5, "state": "up", "addr": "nowhere"}, "nonsense", entry(9, None)
+        w.discovery.change([w.list[0], w.list[1] | {"state": "draining"}, *unusable])
+        time.sleep(0.3)
+        assert all(rpc(w.at)[0] == 200 for _ in range(4)) and len(w.servers[0].seen) == before + 4
+
+
+def test_a_broken_list_leaves_the_last_one_valid(world):
+    with world(echo) as w:
+        w.discovery.act = lambda handler, body: handler.reply(200, b'{"version": "x"')
+        w.discovery.change([])
+        time.sleep(0.3)
+        assert rpc(w.at)[0] == 200
+
+
+def request_bytes(**changes):
+    fields = {"X-Txn": "1", "X-Lane": "read", "X-Tier": "free", "X-Remaining-Ms": "500"} | changes
+    lines = [f"{name}: {value}" for name, value in fields.items() if value is not None]
+    return "\r\n".join(["GET /api?client=%s HTTP/1.1" % CUSTOMER, "Host: a", *lines, "", ""]).encode()
+
+
+def test_bad_input_gets_an_answer_or_a_closed_connection(world):
+    large = b"POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % (LARGEST_BODY + 1)
+    with world(echo) as w:
+        for data, wanted in (
+                (b"\x00\xff\r\n\r\n", b"400"), (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+                (b"GET /" + b"x" * 40_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n", b"4"),
+                (large + b"x" * (LARGEST_BODY + 1), b"413"), (b"HEAD /-/ready HTTP/1.1\r\nHost: a\r\n\r\n", b"405"),
+                (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", b"405"),
+                (b"GET /-/nothing HTTP/1.1\r\nHost: a\r\n\r\n", b"404"),
+                (b"GET /-/ready HTTP/1.0\r\n\r\n", b"200"),
+                (request_bytes(**{"X-Lane": "nothing"}), b"400"), (request_bytes(**{"X-Tier": None}), b"400"),
+                (request_bytes(**{"X-Remaining-Ms": "nan"}), b"400"), (request_bytes(**{"X-Txn": None}), b"400"),
+                (request_bytes(**{"X-Call-Terms": "units=-1"}), b"400"),
+                (request_bytes().replace(CUSTOMER.encode(), b"ffffffffffffffff"), b"400"),
+                (request_bytes().replace(CUSTOMER.encode(), b"%ff"), b"400"),
+                (request_bytes(**{"X-Remaining-Ms": "0"}), b"503"),
+                (request_bytes().replace(b"HTTP/1.1\r\nHost: a", b"HTTP/1.0"), b"200"),
+                (request_bytes(**{"Upgrade": "x", "Connection": "upgrade"}), b"200"),
+                (request_bytes(**{"Expect": "100-continue"}), b"200")):
+            got = raw(w.at, data, 0.3)
+            assert got.startswith(b"HTTP/1.1 " + wanted), (data[:60], got[:60])
+        assert raw(w.at, request_bytes() * 3, 0.3).count(b"made for") == 3      # written one behind another
+        assert raw(w.at, b"GET /api", 0.3) == b"" and rpc(w.at)[0] == 200
+
+
+def test_idle_clients_leave_room_for_others(world):
+    with world(echo) as w:
+        host, port = w.at.split(":")
+        idle = [socket.create_connection((host, int(port))) for _ in range(300)]    # of 256 descriptors
+        time.sleep(0.3)
+        assert all(rpc(w.at)[0] == 200 for _ in range(5))
+        for sock in idle:
+            sock.close()
+
+
+def test_sigterm_answers_what_came_and_ends(world):
+    def slow(handler, body):
+        time.sleep(1.0)
+        echo(handler, body)
+
+    with world(slow) as w:
+        link, idle = connection(w.at), connection(w.at)
+        assert rpc(w.at, path="/-/ready", link=idle)[0] == 200
+        link.request("GET", f"/api?client={CUSTOMER}", None, headers())
+        time.sleep(0.1)
+        w.process.send_signal(signal.SIGTERM)
+        time.sleep(0.1)
+        assert idle.sock.recv(1) == b""     # idle ones close, new ones are still taken
+        late = connection(w.at)
+        assert rpc(w.at, path="/-/ready", link=late)[0] == 503
+        assert rpc(w.at)[0] == 200
+        answer = link.getresponse()
+        assert answer.status == 200 and answer.headers["Connection"] == "close"
+        assert w.process.wait(3) == 0
+        with pytest.raises(OSError):
+            rpc(w.at)
+
+
+def test_two_gateways_keep_one_quota(tmp_path):
+    server = StandIn(echo)
+    servers = [entry(0, server.address)]
+    discovery = Discovery(servers)
+    peers = [free_port(socket.SOCK_DGRAM) for _ in range(2)]
+    both = [told(discovery.address, servers, name=f"n{i}", peers=peers, peer_listen=peers[i], seed=f"{i + 1:x}",
+                 settings=settings(2, i)) for i in range(2)]
+    with started(tmp_path, both[0]), started(tmp_path, both[1]):
+        with closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as stranger:     # changes nothing
+            for size in (0, 1, 256, 300):
+                host, port = peers[0].split(":")
+                stranger.sendto(random.Random(size).randbytes(size), (host, int(port)))
+        terms = {"X_Call_Terms": "units=1,spread=2,first=0", "tier": "basic"}
+        rpc(both[0]["listen"], **terms), rpc(both[1]["listen"], **terms)
+        statuses = [rpc(both[i % 2]["listen"], **terms)[0] for i in range(10)]
+        assert statuses.count(200) == 3 and len(server.seen) == 5
+
+
+def test_random_servers_break_no_rule(world):
+    """Servers that fail in every way at random; after each RPC: one answer, made for it, and no effect twice."""
+    chance, lock, runs = random.Random(11), threading.Lock(), {}
+
+    def act(handler, body):
+        with lock:
+            how = chance.choice(["ok"] * 6 + ["away", "error", "break", "slow", "half", "nonsense"])
+            if how != "away":
+                runs.setdefault(handler.headers["X-Txn"], []).append(handler.server)
+        if how == "away":
+            handler.reply(503, X_Turned_Away="1")
+        elif how == "error":
+            handler.reply(500)
+        elif how in ("half", "nonsense", "break"):
+            handler.wfile.write({"half": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha", "break": b"",
+                                 "nonsense": b"\x00\x01\x02\r\n\r\n"}[how])
+            handler.close_connection = True
+        else:
+            time.sleep(0.3 if how == "slow" else 0.0)
+            echo(handler, body)
+
+    cells = {i: {"cell": i // 2} for i in range(4)}
+    with world(act, act, act, act, states=cells.items()) as w:
+        link = connection(w.at)
+        for number in range(120):
+            lane, name = chance.choice(["read", "seal", "hand"]), "%016x" % number
+            status, body, _ = rpc(w.at, "POST", lane=lane, body=b"b", X_Txn=name, link=link, X_Remaining_Ms="250")
+            with lock:
+                ran = runs.get(name, [])
+            assert status in (200, 502, 503)
+            assert (status == 200) == (body == b"made for " + name.encode() + b" b")
+            if lane == "hand":
+                assert len(ran) <= 1 and not (ran and status == 503)
+            elif lane == "seal":
+                assert len({w.servers.index(server) // 2 for server in ran}) <= 1
+                assert not (ran and status == 503)
+        assert rpc(w.at, path="/-/ready")[0] == 200
+
+
+def test_a_configuration_that_is_not_usable_is_named(tmp_path):
+    path = tmp_path / "c.json"
+    for text in ("", "[]", "{}", '{"listen": "x", "settings": {}}', '{"listen": "a:1", "discovery": "a:99999"}'):
+        path.write_text(text)
+        with pytest.raises(configuration.ConfigurationError):
+            configuration.read({"LB_CONFIG": str(path)})
+    with pytest.raises(configuration.ConfigurationError):
+        configuration.read({})
+
+
+def test_every_ending_means_one_status():
+    assert set(STATUS) == set(Ending)
+    unsent = {Ending.TURNED_AWAY, Ending.NO_ROOM, Ending.REFUSED, Ending.NEVER_UP, Ending.UNSENT, Ending.TOO_LATE}
+    assert {ending for ending, status in STATUS.items() if status in NEVER_RAN} == unsent
+
+
+def surroundings(tmp_path, **more):
+    path = tmp_path / "here.json"
+    path.write_text(json.dumps(told("127.0.0.1:9", [], **more)))
+    return configuration.read({"LB_CONFIG": str(path)})
+
+
+def test_random_heads_are_read_or_named_bad(tmp_path):
+    async def main():
+        return Exchange(Message(head, b""), names, 3, print)
+
+    chance, names = random.Random(5), surroundings(tmp_path).names
+    good = {"x-lane": b"read", "x-tier": b"free", "x-txn": b"1", "x-remaining-ms": b"5", "x-call-terms": b"units=2"}
+
+    class Head:
+        method = b"GET"
+
+    read = 0
+    for _ in range(500):
+        fields = dict(good)
+        for name in chance.sample(sorted(good), chance.randrange(3)):
+            fields[name] = bytes(chance.choice(b"0123456789=,.-einfa") for _ in range(chance.randrange(8)))
+        head = Head()
+        head.headers = [(name.encode(), value) for name, value in fields.items()]
+        head.target = b"/api?client=" + bytes(chance.choice(b"0123456789abcdef%&") for _ in range(chance.randrange(17)))
+        try:
+            exchange = trio.run(main)
+        except BadRequest:
+            continue
+        read += 1
+        assert 0 <= exchange.customer < 1 << 33 and exchange.units >= 0 and exchange.time_left >= 0
+    assert read > 20
+
+
+def test_the_counter_answers_each_call_once(tmp_path):
+    def act(handler, body):
+        totals.append(handler.path)
+        if len(totals) == 2:
+            return handler.reply(503)
+        if len(totals) == 3:
+            time.sleep(0.4)
+        return handler.reply(200, b"2.5")
+
+    async def main():
+        queue, inbox = trio.open_memory_channel(10)
+        counter = Counter(here, queue)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(counter.run)
+            for number in range(4):
+                assert counter.count(face.Count(number, -2.5, 40_000))
+                with trio.fail_after(2):
+                    answers.append(await inbox.receive())
+            nursery.cancel_scope.cancel()
+
+    totals, answers = [], []
+    server = StandIn(act)
+    here = surroundings(tmp_path, counter=server.address)
+    trio.run(main)
+    assert totals[0] == "/counters/0?by=-2.500000&expire_ms=4000"
+    assert [answer.status for answer in answers] == [Status.OK, Status.FULL, Status.TIMED_OUT, Status.OK]
+    assert answers[0].total == 2.5 and [answer.name for answer in answers] == [0, 1, 2, 3]
+    server.shutdown()
+    server.server_close()
+
+
+def test_a_connection_that_never_comes_up_is_given_up():
+    async def main():
+        with closing(socket.socket()) as full:     # a listener that takes nothing: its backlog fills
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            links, ended = [], None
+            for _ in range(4):
+                try:
+                    links.append(await connect(full.getsockname(), 0.1))
+                except Break as end:
+                    ended = end.ending
+            for link in links:
+                link.close()
+        return ended
+
+    assert trio.run(main) == Ending.NEVER_UP
--- a/tests/world.py
+++ b/tests/world.py
@@ -68,7 +68,7 @@
         self.now, _, index, life, event = heapq.heappop(self.queue)
         if life == self.lives[index] and self.now >= self.down_until[index]:
             self.give(index, event)
-        for key, known in self.rpcs.items():
+        for known in self.rpcs.values():
             assert known["over"] or self.now <= known["dl"] + SLACK, "rule 1: an RPC was not answered in time"
         return True
 
