Timers wait two ticks for company; the customer is read by one pattern

Cause: an eighth of the CPU went into waking the keeper for the module's outdated timers. Several equal timers due at once come as one. Could hurt where 8 ms matter: the module's shortest wait is a tenth of a soft deadline, 80 ms here.

--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -1,6 +1,6 @@
 """A client's RPC at the door: read from its head, answered once."""
+import re
 from typing import Callable, Mapping, NamedTuple
-from urllib.parse import parse_qs
 
 import h11
 import trio
@@ -14,6 +14,7 @@
                            b"upgrade", b"expect", b"content-length", b"x-remaining-ms",
                            b"x-lane", b"x-tier", b"x-call-terms", b"x-resent"))
 
+CLIENT = re.compile(rb"[?&]client=([0-9a-fA-F]{16})(?:&|$)")
 LARGEST_CUSTOMER = 1 << 33      # PROTOCOL
 
 
@@ -79,12 +80,10 @@
 
 
 def _customer(target: bytes) -> int:
-    try:
-        values = parse_qs(target.partition(b"?")[2].decode("ascii"), max_num_fields=64).get("client", ())
-        text, = values
-        customer = int(bytes.fromhex(text).hex(), 16)
-    except ValueError:
-        raise BadRequest("the query names no client in hex digits") from None
+    found = CLIENT.search(target)
+    if found is None:
+        raise BadRequest("the query names no client in 16 hex digits")
+    customer = int(found[1], 16)
     if customer >= LARGEST_CUSTOMER:
         raise BadRequest("the client's number is out of range")
     return customer
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -39,7 +39,7 @@
         self.wakes: list[tuple[int, int]] = []              # when, token; emptied as they come
         self.alarm = trio.CancelScope()                     # comes when the first of them is due
         self.latest = 0
-        self.grain = here.tick
+        self.grain = 2 * here.tick
         self.own: deque[face.Event] = deque()               # events that the commands themselves cause
         self.with_load = here.birth.report_how == "on_probe"
         self.brain = Brain(here.birth, self.now())
@@ -70,9 +70,11 @@
 
     def _wake(self) -> None:
         """Brings the timers that are due. One due within TOO_SHORT comes now, with the clock set to its time; one that
-        nothing else wakes the keeper for waits for others, for as long as the settings' tick is."""
+        nothing else wakes the keeper for waits for company, two of the settings' ticks at most."""
         while self.wakes and self.wakes[0][0] <= self._real() + TOO_SHORT:
             due, token = heapq.heappop(self.wakes)
+            if self.wakes and self.wakes[0][1] == token and self.wakes[0][0] <= self._real():
+                continue    # the same again
             self.latest = max(self.latest, due)
             self._handle(face.TimeCame(token))
         self.alarm.deadline = (self.wakes[0][0] + self.grain) / 10_000 - self.epoch if self.wakes else math.inf
