--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -1,4 +1,5 @@
 """The clients' side: takes connections in, reads RPCs, writes answers."""
+import contextlib
 import errno
 import socket
 
@@ -24,7 +25,7 @@
     def __init__(self, here: Surroundings, sock: socket.socket, most: int, queue: trio.MemorySendChannel[Told],
                  nursery: trio.Nursery, log: BoundLogger) -> None:
         self.here, self.most, self.queue, self.nursery, self.log = here, most, queue, nursery, log
-        self.leaving = False
+        self.leaving = self.full = False
         self.open: dict[Client, None] = {}      # the oldest first
         self.empty = trio.Event()       # set once it is leaving and all connections are closed
         self.accepting = trio.CancelScope()
@@ -39,13 +40,19 @@
                     sock, _ = self.sock.accept()
                 except OSError as error:
                     if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                        self.log.warning("no descriptor left for a client")
+                        if not self.full:       # said once, until one is taken again
+                            self.log.warning("no descriptor left for a client")
+                        self.full = True
                         await trio.sleep(0.05)      # until others have closed theirs
                     continue
-                client = Client(self, sock)
+                try:
+                    client = Client(self, sock)
+                except OSError:     # gone already
+                    sock.close()
+                    continue
                 if len(self.open) >= self.most:     # guards against idle clients that leave no descriptor to others
                     next((old for old in self.open if old.leave_if_idle()), None)
-                self.open[client] = None
+                self.open[client], self.full = None, False
                 self.nursery.start_soon(client.serve)
         self.sock.close()
         self.leave()
@@ -80,13 +87,16 @@
         self.link = Link(sock, h11.SERVER)
         self.scope = trio.CancelScope()     # cancelled when the connection is to be closed
         self.exchange: Exchange | None = None   # not answered yet
+        self.behind = False     # the end of an answer is still being written
+        self.caught_up = trio.Event()
 
     async def serve(self) -> None:
         try:
             with self.scope:
                 while True:
-                    if self.link.buffered > LARGEST_BODY and self.exchange:
-                        await trio.sleep_forever()      # it sends on without an answer: no more is taken
+                    if self.link.buffered > LARGEST_BODY and self._busy():
+                        self.caught_up = trio.Event()   # it sends on without an answer: no more is taken for now
+                        await self.caught_up.wait()
                     if not await self.link.fill() and (self.exchange or not self.link.partial()):
                         break
                     self._go_on()
@@ -101,8 +111,11 @@
                 self.all.tell(Left(self.exchange))
             self.all.left(self)
 
+    def _busy(self) -> bool:
+        return self.exchange is not None or self.behind
+
     def leave_if_idle(self) -> bool:
-        idle = not self.exchange and not self.link.buffered and not self.scope.cancel_called
+        idle = not self._busy() and not self.link.buffered and not self.scope.cancel_called
         if idle:
             self.scope.cancel()
         return idle
@@ -110,7 +123,7 @@
     def _go_on(self) -> None:
         """Takes what has come whole, one request at a time."""
         try:
-            while self.exchange is None and (message := self.link.parse()):
+            while not self._busy() and (message := self.link.parse()):
                 self.scope.deadline = float("inf")
                 self._take(message)
         except Break as end:
@@ -142,9 +155,10 @@
 
     def _answer(self, answer: Answer) -> None:
         self.exchange = None
+        self.caught_up.set()
         try:
             self._write(answer)
-            if self.link.buffered:      # the next request came before this answer
+            if self.link.buffered and not self.behind:      # the next request came before this answer
                 self._go_on()
         except Break:
             self.scope.cancel()
@@ -164,6 +178,7 @@
         left = self.link.put(h11.Response(status_code=answer.status, headers=headers), answer.body)
         last = not self.link.renew() or last
         if left:
+            self.behind = True
             self.all.nursery.start_soon(self._write_rest, left, last)
         elif last:
             self.scope.cancel()
@@ -174,5 +189,10 @@
                 await self.link.drain(left)
             except (Break, OSError, trio.ClosedResourceError):
                 last = True
+        self.behind = False
+        self.caught_up.set()
         if last or scope.cancelled_caught:
             self.scope.cancel()
+        elif self.link.buffered:
+            with contextlib.suppress(Break):
+                self._go_on()
--- a/oakfork/sockets/discovery.py
+++ b/oakfork/sockets/discovery.py
@@ -36,11 +36,10 @@
                     if not self.broken:
                         self.log.warning("the watch of the server list broke", ending=end.ending.name)
                     self.broken = True
-                    if self.here.birth.asks_list:       # the module asks again
+                    await trio.sleep(PAUSE)
+                    if self.here.birth.asks_list:       # the module asks again, and at once
                         self.asked = trio.Event()
                         await self.queue.send(Listed(False, True, ()))
-                    else:
-                        await trio.sleep(PAUSE)
 
     def subscribe(self, on: bool) -> None:
         if on:
@@ -83,7 +82,7 @@
             try:
                 told = json.loads(message.body)
                 version, complete, servers = int(told["version"]), bool(told["full"]), list(told["servers"])
-            except (ValueError, TypeError, KeyError):
+            except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
                 self.version = None     # what was missed is not known: the whole list next
                 raise Break(Ending.MALFORMED) from None
             self.version, self.broken = version, False
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -11,6 +11,7 @@
 LARGEST_BODY = 64 * 1024    # PROTOCOL: a body holds 64 KiB at most
 LARGEST_HEAD = 16 * 1024
 READ = 16 * 1024
+PIECES = 512                # of a gathered write; Linux takes 1,024
 
 Header = tuple[bytes, bytes]
 
@@ -111,7 +112,7 @@
 
     def _push(self, left: list[memoryview]) -> list[memoryview]:
         try:
-            sent = self.sock.sendmsg(left)
+            sent = self.sock.sendmsg(left[:PIECES])
         except BlockingIOError:
             return left
         except OSError:
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import Any, Mapping, Sequence
 
+import h11
 import trio
 from structlog.stdlib import BoundLogger
 
@@ -174,7 +175,8 @@
         ticket = self.door.tickets[rpc]
         exchange = ticket.true_id
         end = min(exchange.until, until / 10_000 - self.epoch) if until else exchange.until
-        call_out = CallOut(exchange.sent, server, end)
+        # A millisecond more: the module is to hear of it when its deadline is past, not just before.
+        call_out = CallOut(exchange.sent, server, end + 0.001)
         exchange.sent += 1
         if ticket.over or end <= trio.current_time():
             status = STATUS[Ending.TOO_LATE]
@@ -188,8 +190,13 @@
         ending, message = Ending.GIVEN_UP, None
         with call_out.scope:
             left = call_out.scope.deadline - trio.current_time()
-            ending, message = await self.servers.call(self.addresses[call_out.server], exchange.passed_on(left),
-                                                      exchange.message.body, left)
+            try:
+                request = exchange.passed_on(left)
+            except h11.LocalProtocolError:      # not to be said to any server: none is to blame
+                ending = Ending.TOO_LATE
+            else:
+                ending, message = await self.servers.call(self.addresses[call_out.server], request,
+                                                          exchange.message.body, left)
         if call_out.scope.cancelled_caught and not call_out.withdrawn:
             ending = Ending.SILENT
         await tell(self.queue, CallOutOver(exchange, call_out, ending, message))
@@ -207,19 +214,19 @@
             try:
                 state, name = STATES[row["state"]], str(row["id"])
                 place = address(row["addr"]) if row.get("addr") else None
-                index = self.door.servers.get(name)
-                if index is None and place is None:     # removed before it was known
-                    continue
-                entry = face.ServerEntry(self.door.server(name), int.from_bytes(name.encode(), "big"),
-                                         self.here.names.zones.get(row.get("zone"), 0), int(row.get("cell", 0)), state,
-                                         int(row.get("started_ms", 0) * 10), float(row.get("weight", 1.0)))
-            except (KeyError, TypeError, ValueError, AttributeError, ConfigurationError):
+                zone, cell = self.here.names.zones.get(row.get("zone"), 0), int(row.get("cell", 0))
+                up_since, weight = int(row.get("started_ms", 0) * 10), float(row.get("weight", 1.0))
+            except (KeyError, TypeError, ValueError, AttributeError, OverflowError, ConfigurationError):
                 self.log.warning("an entry of the server list is not usable", entry=str(row)[:200])
                 continue
-            if entry.server == len(self.addresses):
+            if place is None and name not in self.door.servers:     # removed before it was known
+                continue
+            index = self.door.server(name)
+            if index == len(self.addresses):
                 self.addresses.append(place)
-            elif place and place != self.addresses[entry.server]:
-                self.servers.close_idle(self.addresses[entry.server])
-                self.addresses[entry.server] = place
-            entries.append(entry)
+            elif place and place != self.addresses[index]:
+                self.servers.close_idle(self.addresses[index])
+                self.addresses[index] = place
+            true_id = int.from_bytes(name.encode(), "big")
+            entries.append(face.ServerEntry(index, true_id, zone, cell, state, up_since, weight))
         return tuple(entries)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -26,6 +26,7 @@
 from oakfork.sockets.heads import LARGEST_BODY, Message, connect
 
 CUSTOMER = "00000000b4d65521"
+http.client._MAXHEADERS = 2000      # of the stand-ins, which take a hundred otherwise
 
 
 class StandIn(ThreadingHTTPServer):
@@ -324,18 +325,31 @@
             time.sleep(0.3)
             before = len(w.servers[0].seen)
             assert all(rpc(w.at)[0] == 200 for _ in range(8)) and len(w.servers[0].seen) == before
-        unusable = {"id": 5, "state": "up", "addr": "nowhere"}, "nonsense", entry(9, None)
-        w.discovery.change([w.list[0], w.list[1] | {"state": "draining"}, *unusable])
+        unusable = [{"id": 5, "state": "up", "addr": "nowhere"}, "nonsense", entry(9, None), entry(8, w.at, cell="x"),
+                    entry(7, w.at, started_ms=float("inf")), entry(6, w.at, zone=["z"], state="up")]
+        w.discovery.change([*unusable, w.list[0], w.list[1] | {"state": "draining"}])
         time.sleep(0.3)
         assert all(rpc(w.at)[0] == 200 for _ in range(4)) and len(w.servers[0].seen) == before + 4
 
 
 def test_a_broken_list_leaves_the_last_one_valid(world):
     with world(echo) as w:
-        w.discovery.act = lambda handler, body: handler.reply(200, b'{"version": "x"')
+        bad = [b'{"version": "x"', b"[]", b"[" * 60_000, b'{"version": Infinity, "full": 1, "servers": []}',
+               b"x" * 70_000]
+        w.discovery.act = lambda handler, body: handler.reply(200, bad[len(w.discovery.seen) % len(bad)])
         w.discovery.change([])
-        time.sleep(0.3)
-        assert rpc(w.at)[0] == 200
+        time.sleep(1.0)
+        assert rpc(w.at)[0] == 200 and 5 < len(w.discovery.seen) < 20
+
+
+def test_where_lists_come_on_asking_a_dead_discovery_is_asked_now_and_then(world):
+    with world(echo, settings=settings(discovery="subscribe")) as w:
+        time.sleep(0.2)
+        assert "from=1&" in w.discovery.seen[0][1]
+        w.discovery.act = lambda handler, body: handler.reply(503)
+        w.discovery.change([])
+        time.sleep(1.0)
+        assert rpc(w.at)[0] == 200 and 5 < len(w.discovery.seen) < 20
 
 
 def request_bytes(**changes):
@@ -366,6 +380,15 @@
             got = raw(w.at, data, 0.3)
             assert got.startswith(b"HTTP/1.1 " + wanted), (data[:60], got[:60])
         assert raw(w.at, request_bytes() * 3, 0.3).count(b"made for") == 3      # written one behind another
+        many = "".join(f"h{i}: x\r\n" for i in range(1100)).encode()     # more than one gathered write takes
+        assert b"made for" in raw(w.at, request_bytes()[:-2] + many + b"\r\n", 0.3)
+        host, port = w.at.split(":")
+        with closing(socket.create_connection((host, int(port)), timeout=0.3)) as flood:     # asks and never reads
+            with pytest.raises(TimeoutError):
+                for _ in range(4000):
+                    flood.sendall(b"GET /-/nothing HTTP/1.1\r\nHost: a\r\n\r\n" * 100)
+            got = flood.recv(9000)
+            assert got.count(b"HTTP/1.1 404") > 50 and b"HTTP/1.1 404 \r\ncontent-length: 0\r\n\r\n" * 50 in got
         assert raw(w.at, b"GET /api", 0.3) == b"" and rpc(w.at)[0] == 200
 
 
