--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -21,12 +21,14 @@
 
 
 class Clients:
-    """All connections of clients. Over `most` of them an answer is its connection's last, and idle ones make room."""
+    """All connections of clients, `most` at a time; others wait to be accepted. Over three quarters of that an answer
+    is its connection's last, and idle ones make room."""
 
     def __init__(self, here: Surroundings, sock: socket.socket, most: int, queue: trio.MemorySendChannel[Told],
                  nursery: trio.Nursery, log: BoundLogger) -> None:
         self.here, self.most, self.queue, self.nursery, self.log = here, most, queue, nursery, log
-        self.leaving = self.full = False
+        self.many = most * 3 // 4
+        self.leaving = False
         self.open: dict[Client, None] = {}      # those longest without an answer or a start first
         self.empty = trio.Event()       # set once it is leaving and all connections are closed
         self.accepting = trio.CancelScope()
@@ -37,22 +39,24 @@
         with self.accepting:
             while True:
                 await trio.lowlevel.wait_readable(self.sock)
+                if len(self.open) >= self.most:
+                    self.log.warning("no room for a client", connections=len(self.open))
+                    while len(self.open) >= self.most:
+                        self._make_room()
+                        await trio.sleep(0.02)
                 try:
                     sock, _ = self.sock.accept()
                 except OSError as error:
                     if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                        if not self.full:       # said once, until one is taken again
-                            self.log.warning("no descriptor left for a client")
-                        self.full = True
-                        await trio.sleep(0.05)      # until others have closed theirs
+                        await trio.sleep(0.02)      # until others have closed theirs
                     continue
                 try:
                     client = Client(self, sock)
                 except OSError:     # gone already
                     sock.close()
                     continue
-                self.open[client], self.full = None, False
-                if len(self.open) > self.most:
+                self.open[client] = None
+                if len(self.open) > self.many:
                     self._make_room()
                 self.nursery.start_soon(client.serve)
         self.sock.close()
@@ -182,7 +186,7 @@
             headers.append((b"content-type", answer.content_type))
         if answer.retry_after:
             headers.append((b"retry-after", b"%.3f" % answer.retry_after))
-        last = self.all.leaving or len(self.all.open) > self.all.most
+        last = self.all.leaving or len(self.all.open) > self.all.many
         if last:
             headers.append((b"connection", b"close"))
         self.since = trio.current_time()
