--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -185,7 +185,8 @@
         if answer.content_type:
             headers.append((b"content-type", answer.content_type))
         if answer.retry_after:
-            headers.append((b"retry-after", b"%.3f" % answer.retry_after))
+            whole = answer.retry_after == int(answer.retry_after)     # as RFC 9110 has it; decimals only where needed
+            headers.append((b"retry-after", (b"%d" if whole else b"%.3f") % answer.retry_after))
         last = self.all.leaving or len(self.all.open) > self.all.many
         if last:
             headers.append((b"connection", b"close"))
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -57,8 +57,13 @@
     async def run(self) -> None:
         self._wake()
         async for told in self.inbox:
-            if told is not None:
-                self._take(told)
+            while True:     # all that is there, with one turn of the scheduler
+                if told is not None:
+                    self._take(told)
+                try:
+                    told = self.inbox.receive_nowait()
+                except trio.WouldBlock:
+                    break
             self._wake()
 
     async def tick(self) -> None:
@@ -118,7 +123,7 @@
     def _handle(self, event: face.Event, index: int | None = None) -> None:
         """Has the module decide, and carries out what it says."""
         self.own.append(event)
-        touched = {index}
+        touched = [] if index is None else [index]
         while self.own:
             event = self.own.popleft()
             try:
@@ -127,21 +132,21 @@
                 self.log.exception("the decision module failed", event_type=type(event).__name__)
                 commands = [face.Abort(index)] if index is not None and self.door.tickets[index] else []
             for command in commands:
-                touched.add(self._carry_out(command))
-        for rpc in touched - {None}:
+                self._carry_out(command)
+                if isinstance(command, (face.PushBack, face.Abort)):
+                    touched.append(command.rpc)
+        for rpc in touched:
             self.door.settle(rpc)
 
-    def _carry_out(self, command: face.Command) -> int | None:
-        """Starts what the command says, without waiting for it; the RPC that it may have concluded."""
+    def _carry_out(self, command: face.Command) -> None:
+        """Starts what the command says, without waiting for it."""
         match command:
             case face.Send(rpc, server, until):
                 self._send(rpc, server, until)
             case face.PushBack(rpc, retry_after):
                 self._finish(rpc, Answer(503, retry_after=retry_after / 10_000))
-                return rpc
             case face.Abort(rpc):
                 self._finish(rpc, Answer(502))
-                return rpc
             case face.Cancel(rpc, number):
                 ticket = self.door.tickets[rpc]
                 if ticket and number in ticket.true_id.call_outs:
@@ -163,7 +168,6 @@
                     self.own.append(face.CounterAnswered(Status.CONNECT_FAILED, 0.0, command.name))
             case face.Note(text):
                 self.log.info("note", text=text)
-        return None
 
     def _finish(self, rpc: int, answer: Answer) -> None:
         ticket = self.door.tickets[rpc]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,16 +14,22 @@
 from contextlib import closing, contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+import h11
 import pytest
+import structlog
 import trio
+import trio.testing
 
 from oakfork import interface as face
+from oakfork.brain import Brain
 from oakfork.interface import NEVER_RAN, Status
 from oakfork.sockets import configuration
 from oakfork.sockets.counter import Counter
 from oakfork.sockets.endings import STATUS, Break, Ending
 from oakfork.sockets.exchange import BadRequest, Exchange
 from oakfork.sockets.heads import LARGEST_BODY, Message, connect
+from oakfork.sockets.keeper import Keeper
+from oakfork.sockets.messages import Came
 
 CUSTOMER = "00000000b4d65521"
 http.client._MAXHEADERS = 2000      # of the stand-ins, which take a hundred otherwise
@@ -225,7 +231,7 @@
     with world(echo) as w:
         answers = [rpc(w.at, tier="basic") for _ in range(7)]
         assert [status for status, _, _ in answers] == [200] * 5 + [503] * 2
-        assert float(answers[-1][2]["Retry-After"]) >= 5 and len(w.seen()) == 5
+        assert int(answers[-1][2]["Retry-After"]) >= 5 and len(w.seen()) == 5
         assert rpc(w.at, tier="basic", path="/api?client=0000000000000001")[0] == 200
 
 
@@ -521,6 +527,74 @@
     return configuration.read({"LB_CONFIG": str(path)})
 
 
+@contextmanager
+def keeper(tmp_path, monkeypatch, handle):
+    """A keeper whose module is a stand-in; yields a function that runs a task beside it on a clock of its own."""
+    monkeypatch.setattr(Brain, "handle", handle)
+
+    def play(task):
+        async def main():
+            queue, inbox = trio.open_memory_channel(10)
+            async with trio.open_nursery() as nursery:
+                kept = Keeper(here, inbox, queue, None, None, None, None, nursery, structlog.get_logger())
+                nursery.start_soon(kept.run)
+                nursery.start_soon(kept.tick)
+                await task(kept, queue)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    here = surroundings(tmp_path)
+    yield play
+
+
+def test_timers_come_once_soon_and_on_a_clock_that_never_goes_back(tmp_path, monkeypatch):
+    def handle(brain, now, event):
+        seen.append(now)
+        if isinstance(event, face.TimeCame):
+            due = wanted.pop(event.token)
+            assert due <= now <= due + 2 * 40 + 10, "not early, and two ticks late at the most"
+        commands = []
+        for _ in range(chance.randrange(3) if len(seen) < 600 else 0):
+            token, after = len(seen) * 10 + len(commands), chance.choice([0, 1, 3, 40, 500, 5000])
+            wanted[token] = now + after
+            commands.append(face.Wake(token, after))
+        return commands
+
+    async def task(kept, queue):
+        for _ in range(200):
+            await trio.sleep(chance.random() * 0.02)
+            await queue.send(face.PeerFrame(0, b""))
+        await trio.sleep(5)
+
+    chance, seen, wanted = random.Random(3), [], {}
+    with keeper(tmp_path, monkeypatch, handle) as play:
+        play(task)
+    assert len(seen) > 500 and not wanted and seen == sorted(seen)
+
+
+def test_a_decision_that_fails_costs_its_own_rpc_only(tmp_path, monkeypatch):
+    def handle(brain, now, event):
+        if isinstance(event, face.Arrival) and event.units == 2:
+            raise ZeroDivisionError
+        return [face.PushBack(event.rpc, 0)] if isinstance(event, face.Arrival) else []
+
+    async def task(kept, queue):
+        for units in (1, 2, 1):
+            head = h11.Request(method="GET", target=f"/api?client={CUSTOMER}", headers=[
+                ("Host", "a"), ("X-Txn", "1"), ("X-Lane", "read"), ("X-Tier", "free"), ("X-Remaining-Ms", "100"),
+                ("X-Call-Terms", f"units={units}")])
+            exchange = Exchange(Message(head, b""), kept.here.names, 1, lambda answer: statuses.append(answer.status))
+            await queue.send(Came(exchange))
+            await trio.sleep(0.1)
+        assert not kept.door.rpcs and kept.door.free == [0]
+
+    statuses = []
+    with keeper(tmp_path, monkeypatch, handle) as play:
+        play(task)
+    assert statuses == [503, 502, 503]
+
+
 def test_random_heads_are_read_or_named_bad(tmp_path):
     async def main():
         return Exchange(Message(head, b""), names, 3, print)
