--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -552,8 +552,7 @@
     def handle(brain, now, event):
         seen.append(now)
         if isinstance(event, face.TimeCame):
-            due = wanted.pop(event.token)
-            assert due <= now <= due + 2 * 40 + 10, "not early, and two ticks late at the most"
+            late.append(now - wanted.pop(event.token))
         commands = []
         for _ in range(chance.randrange(3) if len(seen) < 600 else 0):
             token, after = len(seen) * 10 + len(commands), chance.choice([0, 1, 3, 40, 500, 5000])
@@ -567,10 +566,11 @@
             await queue.send(face.PeerFrame(0, b""))
         await trio.sleep(5)
 
-    chance, seen, wanted = random.Random(3), [], {}
+    chance, seen, wanted, late = random.Random(3), [], {}, []
     with keeper(tmp_path, monkeypatch, handle) as play:
         play(task)
     assert len(seen) > 500 and not wanted and seen == sorted(seen)
+    assert min(late) >= 0 and 40 < max(late) <= 2 * 40 + 10     # tenths of a ms: never early, two ticks at most
 
 
 def test_a_decision_that_fails_costs_its_own_rpc_only(tmp_path, monkeypatch):
