A test that clients lose nothing when the gateway leaves; heads are listed once

Twelve clients that follow the protocol ask on while SIGTERM comes; each request that the gateway had taken is answered. h11 builds a row at each look at a head, so an RPC's head is listed once.

--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -53,7 +53,8 @@
         self.answer = answer            # called once
         self.call_outs: dict[int, CallOut] = {}     # emptied as they end
         self.sent = 0
-        headers = dict(message.head.headers)
+        rows = list(message.head.headers)   # h11 builds each row anew
+        headers = dict(rows)
         self.customer = _customer(message.head.target)
         self.method = _named(names.methods, headers, b"x-lane")
         self.plan = _named(names.plans, headers, b"x-tier")
@@ -66,7 +67,7 @@
         self.first_gateway = int(terms.get(b"first", 0))
         self.spread = int(terms.get(b"spread", gateways))
         self.repeated = headers.get(b"x-resent") == b"1"
-        self.headers: list[Header] = [header for header in message.head.headers if header[0] not in NOT_PASSED_ON]
+        self.headers: list[Header] = [row for row in rows if row[0] not in NOT_PASSED_ON]
         if b"host" not in headers:      # HTTP/1.0 may leave it out
             self.headers.append((b"host", b"unknown"))
         if message.body or message.head.method != b"GET":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -466,6 +466,45 @@
             rpc(w.at)
 
 
+def test_clients_lose_nothing_when_the_gateway_leaves(world):
+    """Clients keep their connections, send once more on a new one where closing crossed a request, and are sent
+    elsewhere 0.4 s after SIGTERM, as the protocol has it."""
+    def quick(handler, body):
+        time.sleep(0.01)
+        echo(handler, body)
+
+    def ask(link, first):
+        try:
+            answers.append(rpc(w.at, link=link)[0])
+            return link
+        except (http.client.RemoteDisconnected, ConnectionError):
+            if not first:
+                lost.append(time.monotonic() - ended[0])
+                return None
+            return ask(connection(w.at), False)
+
+    def client(number):
+        link, chance = connection(w.at), random.Random(number)
+        while link and (not ended or time.monotonic() < ended[0] + 0.4):
+            link = ask(link, True)
+            if link and link.sock is None:      # the answer was the connection's last
+                link = connection(w.at)
+            time.sleep(chance.random() * 0.02)
+
+    answers, lost, ended = [], [], []
+    with world(quick) as w:
+        threads = [threading.Thread(target=client, args=(number,)) for number in range(12)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.4)
+        ended.append(time.monotonic())
+        w.process.send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        assert w.process.wait(3) == 0
+    assert not lost and set(answers) <= {200, 503} and answers.count(200) > 100
+
+
 def test_two_gateways_keep_one_quota(tmp_path):
     server = StandIn(echo)
     servers = [entry(0, server.address)]
