--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -28,7 +28,7 @@
                  nursery: trio.Nursery, log: BoundLogger) -> None:
         self.here, self.most, self.queue, self.nursery, self.log = here, most, queue, nursery, log
         self.many = most * 3 // 4
-        self.leaving = False
+        self.leaving = self.full = False
         self.open: dict[Client, None] = {}      # those longest without an answer or a start first
         self.empty = trio.Event()       # set once it is leaving and all connections are closed
         self.accepting = trio.CancelScope()
@@ -40,7 +40,9 @@
             while True:
                 await trio.lowlevel.wait_readable(self.sock)
                 if len(self.open) >= self.most:
-                    self.log.warning("no room for a client", connections=len(self.open))
+                    if not self.full:       # said once, until there is some room again
+                        self.log.warning("no room for a client", connections=len(self.open))
+                    self.full = True
                     while len(self.open) >= self.most:
                         self._make_room()
                         await trio.sleep(0.02)
@@ -78,6 +80,7 @@
 
     def left(self, client: "Client | None") -> None:
         self.open.pop(client, None)
+        self.full = self.full and len(self.open) >= self.many
         if self.leaving and not self.open:
             self.empty.set()
 
--- a/oakfork/sockets/counter.py
+++ b/oakfork/sockets/counter.py
@@ -30,15 +30,16 @@
         return True
 
     async def run(self) -> None:
+        link: Link | None = None
         while True:
             await self.more.wait()
             self.more = trio.Event()
-            link: Link | None = None
             while self.calls:
                 call, until = self.calls.popleft()
+                if link is not None and not link.lively():      # the counter closes idle connections
+                    link.close()
+                    link = None
                 link = await self._call(link, call, until)
-            if link is not None:
-                link.close()
 
     async def _call(self, link: Link | None, call: face.Count, until: float) -> Link | None:
         """One call; the connection if it can be used again."""
