--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -113,9 +113,8 @@
         ticket = self.door.tickets[index]
         exchange.call_outs.pop(call_out.number, None)
         ticket.out -= 1
-        if ending is Ending.ANSWERED and not ticket.over:     # the first answer goes to the client by itself
-            ticket.over = True
-            exchange.answer(Answer(200, message.body, message.header(b"content-type")))
+        if ending is Ending.ANSWERED:   # the first answer goes to the client by itself
+            self._finish(index, Answer(200, message.body, message.header(b"content-type")))
         elapsed = int((trio.current_time() - call_out.started) * 10_000)
         self._handle(face.CallOutEnded(index, call_out.number, call_out.server, elapsed, STATUS[ending], ticket.over,
                                        0.0, self.servers.load(message)), index)
@@ -170,6 +169,7 @@
                 self.log.info("note", text=text)
 
     def _finish(self, rpc: int, answer: Answer) -> None:
+        """Only the first answer counts."""
         ticket = self.door.tickets[rpc]
         if ticket and not ticket.over:
             ticket.over = True
