Twins folded in the network code: lists of values, plain requests, endings

Read through as a whole. 'name=value' lists were split in two places, and the gateway's own requests worded in three: both are now in heads.py. The counter chose a Status of its own beside the map in endings.py; now it names the ending. Whether an RPC's time is up is asked where the time is reckoned, not in the servers' connections, which probes use too. A client's leaving settled its index twice; 'partial' was another word for 'buffered'. Tests read addresses with the project's own function.

--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -113,10 +113,10 @@
                     if self.link.buffered > LARGEST_BODY and self._busy():
                         self.caught_up = trio.Event()   # it sends on without an answer: no more is taken for now
                         await self.caught_up.wait()
-                    if not await self.link.fill() and (self.exchange or not self.link.partial()):
+                    if not await self.link.fill() and (self.exchange or not self.link.buffered):
                         break
                     self._go_on()
-            if self.scope.cancelled_caught and self.link.partial():
+            if self.scope.cancelled_caught and self.link.buffered:
                 self._write(Answer(PLAIN_STATUS[Ending.SILENT]))
         except Break:
             pass    # the client is gone
@@ -148,7 +148,7 @@
                 self._write(Answer(PLAIN_STATUS[end.ending]))
             self.scope.cancel()
             return
-        if self.link.partial() and not self.exchange and self.scope.deadline == float("inf"):
+        if self.link.buffered and not self.exchange and self.scope.deadline == float("inf"):
             self.scope.deadline = trio.current_time() + PATIENCE
             if self.link.http.they_are_waiting_for_100_continue:
                 self.link.put(h11.InformationalResponse(status_code=100, headers=[]))
--- a/oakfork/sockets/counter.py
+++ b/oakfork/sockets/counter.py
@@ -1,14 +1,12 @@
 """Calls to the counter: written one behind another on one connection, answered in their order."""
 from collections import deque
 
-import h11
 import trio
 
 from oakfork import interface as face
-from oakfork.interface import Status
 from oakfork.sockets.configuration import Surroundings
 from oakfork.sockets.endings import STATUS, Break, Ending
-from oakfork.sockets.heads import Link, Message, connect
+from oakfork.sockets.heads import Link, Message, connect, plain
 from oakfork.sockets.messages import Told
 
 MOST_WAITING = 256      # calls not yet written; one more is answered as if there were no connection
@@ -43,14 +41,13 @@
 
     async def _call(self, link: Link | None, call: face.Count, until: float) -> Link | None:
         """One call; the connection if it can be used again."""
-        ending, total, written = Ending.SILENT, 0.0, False
+        ending, total = Ending.NEVER_UP, 0.0
         with trio.move_on_at(until):
             try:
                 link = link or await connect(self.here.counter, self.here.count_patience)
-                written = True
+                ending = Ending.SILENT      # from here on it may have been added
                 target = f"/counters/{call.name:x}?by={call.amount:.6f}&expire_ms={max(1, call.kept_for // 10)}"
-                await link.write(h11.Request(method="POST", target=target, headers=[
-                    ("Host", "%s:%d" % self.here.counter), ("Content-Length", "0")]))
+                await link.write(plain("POST", target, self.here.counter))
                 message = await link.read()
                 ending, total = _result(message)
                 if not link.renew():
@@ -61,8 +58,7 @@
         if link is not None and ending not in (Ending.ANSWERED, Ending.TURNED_AWAY):
             link.close()
             link = None
-        status = STATUS[ending] if written or ending is not Ending.SILENT else Status.CONNECT_FAILED
-        await self.queue.send(face.CounterAnswered(status, total, call.name))
+        await self.queue.send(face.CounterAnswered(STATUS[ending], total, call.name))
         return link
 
 
--- a/oakfork/sockets/discovery.py
+++ b/oakfork/sockets/discovery.py
@@ -2,13 +2,12 @@
 import json
 from typing import Any, Mapping
 
-import h11
 import trio
 from structlog.stdlib import BoundLogger
 
 from oakfork.sockets.configuration import Surroundings
 from oakfork.sockets.endings import Break, Ending
-from oakfork.sockets.heads import Link, connect
+from oakfork.sockets.heads import Link, connect, plain
 from oakfork.sockets.messages import Listed, Told
 
 HOLD = 20.0     # seconds that a watch waits for something new, as in PROTOCOL's example
@@ -74,8 +73,7 @@
     async def _ask(self, link: Link, target: str) -> None:
         """One call, whose answer goes to the keeper."""
         with trio.move_on_after(HOLD + 1.0):    # a second more than the agent may take
-            await link.write(h11.Request(method="GET", target=target,
-                                         headers=[("Host", "%s:%d" % self.here.discovery)]))
+            await link.write(plain("GET", target, self.here.discovery))
             message = await link.read()
             if message.head.status_code != 200:
                 raise Break(Ending.ERROR)
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -7,7 +7,7 @@
 
 from oakfork.birth import tenths
 from oakfork.sockets.configuration import Names
-from oakfork.sockets.heads import Header, Message
+from oakfork.sockets.heads import Header, Message, pairs
 
 # These speak of one connection (RFC 9110, 7.6.1), are written anew for the next, or are for the gateway alone.
 NOT_PASSED_ON = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
@@ -109,8 +109,7 @@
 
 def _terms(text: bytes) -> dict[bytes, float]:
     terms = {}
-    for part in text.split(b","):
-        name, _, value = part.strip().partition(b"=")
+    for name, value in pairs(text):
         if name:
             terms[name] = _number(value, "X-Call-Terms")
     return terms
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 on one connection: h11 parses heads where they were received, writes are gathered."""
 import errno
 import socket
-from typing import NamedTuple
+from typing import Iterator, NamedTuple
 
 import h11
 import trio
@@ -25,6 +25,21 @@
         return next((value for key, value in self.head.headers if key == name), None)
 
 
+def plain(method: str, target: str, address: tuple[str, int]) -> h11.Request:
+    """A request of the gateway's own, with no body."""
+    headers = [("Host", "%s:%d" % address)]
+    if method != "GET":
+        headers.append(("Content-Length", "0"))
+    return h11.Request(method=method, target=target, headers=headers)
+
+
+def pairs(text: bytes) -> Iterator[tuple[bytes, bytes]]:
+    """The names and values of a list such as 'inflight=7,queue=2'."""
+    for part in text.split(b","):
+        name, _, value = part.strip().partition(b"=")
+        yield name, value
+
+
 class Link:
     """A connection and what h11 knows of it. The socket doesn't block: a task waits only where there is nothing to
     read or no room to write, which spares the checkpoint after each call that trio's own sockets have."""
@@ -84,10 +99,6 @@
             await self.fill()
         return message
 
-    def partial(self) -> bool:
-        """Whether a message has begun and is not whole."""
-        return self.buffered > 0
-
     def put(self, head: h11.Request | h11.Response | h11.InformationalResponse, body: bytes = b"") -> list[memoryview]:
         """Writes a message with one gathered write; what the socket had no room for is left to drain."""
         try:
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -12,7 +12,6 @@
 from oakfork import interface as face
 from oakfork.brain import Brain
 from oakfork.door import Door
-from oakfork.interface import Status
 from oakfork.sockets.configuration import Address, ConfigurationError, Surroundings, address
 from oakfork.sockets.counter import Counter
 from oakfork.sockets.discovery import Discovery, rows
@@ -95,12 +94,9 @@
                                           max(0, exchange.time_left - waited), exchange.repeated), index)
             case Left(exchange):
                 index = self.door.rpcs.get(exchange)
-                if index is not None:
-                    ticket = self.door.tickets[index]
-                    was_over, ticket.over = ticket.over, True
-                    if not was_over:
-                        self._handle(face.ClientGone(index), index)
-                    self.door.settle(index)
+                if index is not None and not self.door.tickets[index].over:
+                    self.door.tickets[index].over = True
+                    self._handle(face.ClientGone(index), index)
             case CallOutOver(exchange, call_out, ending, message):
                 self._call_out_over(exchange, call_out, ending, message)
             case Listed(complete, failed, servers):
@@ -164,7 +160,7 @@
                 self.servers.close_idle(self.addresses[server])
             case face.Count():
                 if not self.counter or not self.counter.count(command):
-                    self.own.append(face.CounterAnswered(Status.CONNECT_FAILED, 0.0, command.name))
+                    self.own.append(face.CounterAnswered(STATUS[Ending.NO_ROOM], 0.0, command.name))
             case face.Note(text):
                 self.log.info("note", text=text)
 
@@ -195,12 +191,14 @@
         with call_out.scope:
             left = call_out.scope.deadline - trio.current_time()
             try:
-                request = exchange.passed_on(left)
+                request = exchange.passed_on(left) if left > 0 else None
             except h11.LocalProtocolError:      # not to be said to any server: none is to blame
+                request = None
+            if request is None:
                 ending = Ending.TOO_LATE
             else:
                 ending, message = await self.servers.call(self.addresses[call_out.server], request,
-                                                          exchange.message.body, left)
+                                                          exchange.message.body)
         if call_out.scope.cancelled_caught and not call_out.withdrawn:
             ending = Ending.SILENT
         await tell(self.queue, CallOutOver(exchange, call_out, ending, message))
--- a/oakfork/sockets/servers.py
+++ b/oakfork/sockets/servers.py
@@ -6,7 +6,7 @@
 
 from oakfork.sockets.configuration import Address
 from oakfork.sockets.endings import Break, Ending
-from oakfork.sockets.heads import Link, Message, connect
+from oakfork.sockets.heads import Link, Message, connect, pairs, plain
 
 EARLY = 1.0     # seconds before the other side's idle limit at which a connection is no longer used
 
@@ -22,11 +22,8 @@
         self.open = 0
         self.idle: dict[Address, list[tuple[float, Link]]] = {}    # emptied by run
 
-    async def call(self, address: Address, request: h11.Request, body: bytes, patience: float
-                   ) -> tuple[Ending, Message | None]:
+    async def call(self, address: Address, request: h11.Request, body: bytes = b"") -> tuple[Ending, Message | None]:
         """One exchange with a server. Sends it once and never again; the connection is kept if it stays usable."""
-        if patience <= 0:
-            return Ending.TOO_LATE, None
         link = None
         try:
             link = self._kept(address) or await self._new(address)
@@ -46,10 +43,9 @@
 
     async def probe(self, address: Address, with_load: bool) -> tuple[Ending, Message | None]:
         """A look at a server; it waits as long as for a connection."""
-        request = h11.Request(method="GET", target="/-/load" if with_load else "/-/healthy",
-                              headers=[("Host", "%s:%d" % address)])
+        request = plain("GET", "/-/load" if with_load else "/-/healthy", address)
         with trio.CancelScope(deadline=trio.current_time() + self.connect_patience):
-            return await self.call(address, request, b"", self.connect_patience)
+            return await self.call(address, request)
         return Ending.SILENT, None
 
     def _kept(self, address: Address) -> Link | None:
@@ -103,13 +99,10 @@
         text = message.header(b"x-pressure") or (message.body if probe else b"")
         if not text:
             return ()
-        values = {}
-        for part in text.split(b","):
-            name, _, value = part.strip().partition(b"=")
-            try:
-                values[name] = float(value)
-            except ValueError:
-                return ()
+        try:
+            values = {name: float(value) for name, value in pairs(text)}
+        except ValueError:
+            return ()
         if not all(name in values for name in self.names):
             return ()
         return tuple(values[name] for name in self.names)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -182,8 +182,7 @@
 
 
 def connection(at):
-    host, port = at.split(":")
-    return http.client.HTTPConnection(host, int(port), timeout=5)
+    return http.client.HTTPConnection(*configuration.address(at), timeout=5)
 
 
 def headers(lane="read", tier="free", **more):
@@ -204,8 +203,7 @@
 
 def raw(at, data, answers=1):
     """What comes back for some bytes, until so many answers have come whole or the other side ends."""
-    host, port = at.split(":")
-    with closing(socket.create_connection((host, int(port)), timeout=5)) as sock:
+    with closing(socket.create_connection(configuration.address(at), timeout=5)) as sock:
         got = b""
         with suppress(ConnectionError):
             sock.sendall(data)
@@ -404,22 +402,20 @@
         assert raw(w.at, request_bytes() * 3, 3).count(b"made for") == 3      # written one behind another
         many = "".join(f"h{i}: x\r\n" for i in range(1100)).encode()     # more than one gathered write takes
         assert b"made for" in raw(w.at, request_bytes()[:-2] + many + b"\r\n")
-        host, port = w.at.split(":")
-        with closing(socket.create_connection((host, int(port)), timeout=0.3)) as flood:     # asks and never reads
+        with closing(socket.create_connection(configuration.address(w.at), timeout=0.3)) as flood:    # never reads
             with pytest.raises(TimeoutError):
                 for _ in range(4000):
                     flood.sendall(b"GET /-/nothing HTTP/1.1\r\nHost: a\r\n\r\n" * 100)
             got = flood.recv(9000)
             assert got.count(b"HTTP/1.1 404") > 50 and b"HTTP/1.1 404 \r\ncontent-length: 0\r\n\r\n" * 50 in got
-        with closing(socket.create_connection((host, int(port)))) as cut:
+        with closing(socket.create_connection(configuration.address(w.at))) as cut:
             cut.sendall(b"GET /api")
         assert rpc(w.at)[0] == 200
 
 
 def test_idle_clients_leave_room_for_others(world):
     with world(echo) as w:
-        host, port = w.at.split(":")
-        idle = [socket.create_connection((host, int(port))) for _ in range(300)]    # of 256 descriptors
+        idle = [socket.create_connection(configuration.address(w.at)) for _ in range(300)]    # of 256 descriptors
         time.sleep(0.3)
         assert all(rpc(w.at)[0] == 200 for _ in range(5))
         for sock in idle:
@@ -433,9 +429,8 @@
         echo(handler, body)
 
     with world(slow) as w:
-        host, port = w.at.split(":")
         for _ in range(3):
-            asking = [socket.create_connection((host, int(port)), timeout=3) for _ in range(120)]
+            asking = [socket.create_connection(configuration.address(w.at), timeout=3) for _ in range(120)]
             for sock in reversed(asking):
                 sock.sendall(request_bytes(**{"X-Remaining-Ms": "2000"}))
             assert all(sock.recv(65536).startswith(b"HTTP/1.1 ") for sock in asking)
@@ -515,8 +510,7 @@
     with started(tmp_path, both[0]), started(tmp_path, both[1]):
         with closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as stranger:     # changes nothing
             for size in (0, 1, 256, 300):
-                host, port = peers[0].split(":")
-                stranger.sendto(random.Random(size).randbytes(size), (host, int(port)))
+                stranger.sendto(random.Random(size).randbytes(size), configuration.address(peers[0]))
         terms = {"X_Call_Terms": "units=1,spread=2,first=0", "tier": "basic"}
         rpc(both[0]["listen"], **terms), rpc(both[1]["listen"], **terms)
         statuses = [rpc(both[i % 2]["listen"], **terms)[0] for i in range(10)]
