Turn to new addresses on SIGHUP; a server's surplus bytes end its connection

Seen: every gateway exits with 129, the status of an unhandled SIGHUP; the five requests lost are those it held. gateway.py listened for SIGTERM and SIGINT only. Discovery and the counter now take the addresses of the file read anew; LB_DISCOVERY, which went before the file at the start, does not on SIGHUP, or nothing would change. A file that is not usable leaves the old addresses.

Seen: 158 answers passed on that no server made for the request.

Besides: a whole list is waited for one second, not 21, since an agent answers at once; a 'known' that is no object is named at start instead of ending in a traceback.

Possible harm: a connection is not kept where a server sends anything behind its answers.

--- a/oakfork/sockets/configuration.py
+++ b/oakfork/sockets/configuration.py
@@ -1,12 +1,13 @@
 """What the operators tell a gateway when it starts: where the others are, and the module's Birth."""
 import json
 from dataclasses import dataclass
-from typing import Any, Mapping
+from typing import Any, Callable, Mapping, TypeVar
 
 from oakfork.birth import read_settings, tenths
 from oakfork.interface import Birth
 
 Address = tuple[str, int]
+Read = TypeVar("Read")
 
 
 class ConfigurationError(Exception):
@@ -51,30 +52,39 @@
 
 def read(environment: Mapping[str, str]) -> Surroundings:
     """Reads LB_CONFIG; LB_NAME, LB_LISTEN and LB_DISCOVERY go before what stands in it."""
+    variables = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
+    given = {key: environment[variable] for key, variable in variables.items() if environment.get(variable)}
+    return _read(environment, lambda told: _surroundings(told | given))
+
+
+def reread(environment: Mapping[str, str]) -> tuple[Address, Address | None]:
+    """What a running gateway turns to: the addresses of discovery and the counter, as LB_CONFIG names them now. The
+    variables were for the start."""
+    return _read(environment, lambda told: (address(told["discovery"]), _place(told, "counter")))
+
+
+def _read(environment: Mapping[str, str], use: Callable[[dict[str, Any]], Read]) -> Read:
     path = environment.get("LB_CONFIG")
     if not path:
         raise ConfigurationError("LB_CONFIG names no file")
     try:
         with open(path, encoding="utf-8") as file:
-            told = json.load(file)
-    except (OSError, ValueError) as error:
-        raise ConfigurationError(f"{path}: {error}") from error
-    variables = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
-    try:
-        told |= {key: environment[variable] for key, variable in variables.items() if environment.get(variable)}
-        return _surroundings(told)
-    except (TypeError, ValueError, AttributeError, KeyError) as error:
+            return use(json.load(file))
+    except (OSError, TypeError, ValueError, AttributeError, KeyError, RecursionError) as error:
         raise ConfigurationError(f"{path}: not usable: {error!r}") from error
 
 
+def _place(told: dict[str, Any], key: str) -> Address | None:
+    return address(told[key]) if told.get(key) else None
+
+
 def _surroundings(told: dict[str, Any]) -> Surroundings:
     info = told["settings"]
-    limits, specifics = info.get("limits", {}), info.get("specifics", {})
+    limits, specifics, known = info.get("limits", {}), info.get("specifics", {}), told.get("known", {})
+    if not isinstance(known, dict):
+        raise ConfigurationError(f"not a list of servers: {known!r:.100}")
     birth = read_settings(int(told.get("seed", "0"), 16), info)
 
-    def place(key: str) -> Address | None:
-        return address(told[key]) if told.get(key) else None
-
     def numbered(rows: list, key: str | None = None) -> dict[str, int]:
         return {(row[key] if key else row): number for number, row in enumerate(rows)}
 
@@ -83,15 +93,15 @@
 
     return Surroundings(
         name=str(told.get("name", "")), listen=address(told["listen"]), discovery=address(told["discovery"]),
-        counter=place("counter") if specifics.get("shared-counter") else None,
-        peer_listen=place("peer_listen") if birth.peers else None,
-        peers=tuple(address(text) for text in told.get("peers", ())), peers_all=place("peers_all"),
+        counter=_place(told, "counter") if specifics.get("shared-counter") else None,
+        peer_listen=_place(told, "peer_listen") if birth.peers else None,
+        peers=tuple(address(text) for text in told.get("peers", ())), peers_all=_place(told, "peers_all"),
         sockets=int(told.get("limits", {}).get("sockets", 1024)),
         connect_patience=limits.get("connect-timeout-ms", 250.0) / 1000,
         idle_patience=limits.get("conn-idle-ms", 15_000.0) / 1000,
         count_patience=specifics.get("count-limit-ms", 50.0) / 1000,
         longest_deadline=max((method.deadline for method in birth.methods), default=0) / 10_000,
-        tick=tenths(info.get("tick-ms", 1.0)), known=told.get("known", {}),
+        tick=tenths(info.get("tick-ms", 1.0)), known=known,
         names=Names(encoded(numbered(info.get("classes", ()), "name")),
                     encoded(numbered(info.get("tiers-of-service", ()), "name")), numbered(info.get("zones", ()))),
         birth=birth)
--- a/oakfork/sockets/counter.py
+++ b/oakfork/sockets/counter.py
@@ -4,7 +4,7 @@
 import trio
 
 from oakfork import interface as face
-from oakfork.sockets.configuration import Surroundings
+from oakfork.sockets.configuration import Address, Surroundings
 from oakfork.sockets.endings import STATUS, Break, Ending
 from oakfork.sockets.heads import Link, Message, connect, plain
 from oakfork.sockets.messages import Told
@@ -17,6 +17,8 @@
 
     def __init__(self, here: Surroundings, queue: trio.MemorySendChannel[Told]) -> None:
         self.here, self.queue = here, queue
+        self.address = here.counter
+        self.turned = False     # the connection leads to where the counter was
         self.calls: deque[tuple[face.Count, float]] = deque()      # emptied by run, or after the patience
         self.more = trio.Event()
 
@@ -27,6 +29,11 @@
         self.more.set()
         return True
 
+    def turn_to(self, address: Address) -> None:
+        """The call that is out may still be answered by the old one; the next goes to the new one."""
+        self.turned = self.turned or address != self.address
+        self.address = address
+
     async def run(self) -> None:
         link: Link | None = None
         while True:
@@ -34,9 +41,10 @@
             self.more = trio.Event()
             while self.calls:
                 call, until = self.calls.popleft()
-                if link is not None and not link.lively():      # the counter closes idle connections
+                if link is not None and (self.turned or not link.lively()):     # the counter closes idle connections
                     link.close()
                     link = None
+                self.turned = False
                 link = await self._call(link, call, until)
 
     async def _call(self, link: Link | None, call: face.Count, until: float) -> Link | None:
@@ -44,10 +52,10 @@
         ending, total = Ending.NEVER_UP, 0.0
         with trio.move_on_at(until):
             try:
-                link = link or await connect(self.here.counter, self.here.count_patience)
+                link = link or await connect(self.address, self.here.count_patience)
                 ending = Ending.SILENT      # from here on it may have been added
                 target = f"/counters/{call.name:x}?by={call.amount:.6f}&expire_ms={max(1, call.kept_for // 10)}"
-                await link.write(plain("POST", target, self.here.counter))
+                await link.write(plain("POST", target, self.address))
                 message = await link.read()
                 ending, total = _result(message)
                 if not link.renew():
--- a/oakfork/sockets/discovery.py
+++ b/oakfork/sockets/discovery.py
@@ -5,18 +5,20 @@
 import trio
 from structlog.stdlib import BoundLogger
 
-from oakfork.sockets.configuration import Surroundings
+from oakfork.sockets.configuration import Address, Surroundings
 from oakfork.sockets.endings import Break, Ending
 from oakfork.sockets.heads import Link, connect, plain
 from oakfork.sockets.messages import Listed, Told
 
 HOLD = 20.0     # seconds that a watch waits for something new, as in PROTOCOL's example
+PROMPT = 1.0    # seconds beyond the hold that an agent, which answers at once, may take
 PAUSE = 0.1     # seconds before a broken watch is taken up again
 
 
 class Discovery:
     def __init__(self, here: Surroundings, queue: trio.MemorySendChannel[Told], log: BoundLogger) -> None:
         self.here, self.queue, self.log = here, queue, log
+        self.address = here.discovery
         self.version = here.known.get("version")
         self.asked = trio.Event()       # set while a watch is wanted
         self.watching = trio.CancelScope()
@@ -47,10 +49,16 @@
             self.asked = trio.Event()
             self.watching.cancel()
 
+    def turn_to(self, address: Address) -> None:
+        """Goes over to another agent at once, and asks it for the whole list: what the two count may differ."""
+        if address != self.address:
+            self.address, self.version, self.broken = address, None, False
+            self.watching.cancel()
+
     async def read_once(self) -> None:
         """The whole list, on the module's request."""
         try:
-            link = await connect(self.here.discovery, self.here.connect_patience)
+            link = await connect(self.address, self.here.connect_patience)
             try:
                 await self._ask(link, "/api/targets")
             finally:
@@ -59,21 +67,23 @@
             await self.queue.send(Listed(False, True, ()))
 
     async def _watch(self) -> None:
-        link = await connect(self.here.discovery, self.here.connect_patience)
+        link = await connect(self.address, self.here.connect_patience)
         try:
             while True:
-                await self._ask(link, "/api/targets" if self.version is None else
-                                f"/api/targets?from={self.version}&hold_ms={HOLD * 1000:.0f}")
+                if self.version is None:
+                    await self._ask(link, "/api/targets")
+                else:
+                    await self._ask(link, f"/api/targets?from={self.version}&hold_ms={HOLD * 1000:.0f}", HOLD)
                 if not link.renew():
                     link.close()
-                    link = await connect(self.here.discovery, self.here.connect_patience)
+                    link = await connect(self.address, self.here.connect_patience)
         finally:
             link.close()
 
-    async def _ask(self, link: Link, target: str) -> None:
+    async def _ask(self, link: Link, target: str, hold: float = 0.0) -> None:
         """One call, whose answer goes to the keeper."""
-        with trio.move_on_after(HOLD + 1.0):    # a second more than the agent may take
-            await link.write(plain("GET", target, self.here.discovery))
+        with trio.move_on_after(hold + PROMPT):
+            await link.write(plain("GET", target, self.address))
             message = await link.read()
             if message.head.status_code != 200:
                 raise Break(Ending.ERROR)
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -1,14 +1,16 @@
-"""Puts the parts of a gateway together, and takes it out of service on SIGTERM."""
+"""Puts the parts of a gateway together, turns them to new addresses on SIGHUP, takes it out of service on SIGTERM."""
 import logging
+import os
 import signal
 import socket
 import sys
 
 import structlog
 import trio
+from structlog.stdlib import BoundLogger
 
 from oakfork.sockets.clients import Clients
-from oakfork.sockets.configuration import Surroundings
+from oakfork.sockets.configuration import ConfigurationError, Surroundings, reread
 from oakfork.sockets.counter import Counter
 from oakfork.sockets.discovery import Discovery
 from oakfork.sockets.heads import bound
@@ -22,7 +24,7 @@
 MARGIN = 0.7        # seconds beyond the longest deadline after which it ends in any case, as in PROTOCOL
 
 
-def logger(name: str) -> structlog.stdlib.BoundLogger:
+def logger(name: str) -> BoundLogger:
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.format_exc_info,
                     structlog.processors.TimeStamper(fmt="iso"), structlog.processors.JSONRenderer()],
@@ -40,7 +42,7 @@
         log.error("an address of its own can't be had", error=str(error))
         sys.exit(1)
     queue, inbox = trio.open_memory_channel(QUEUE)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             # Two fifths of the descriptors for the servers, OTHERS for the rest, what is left for the clients.
             to_servers = here.sockets * 2 // 5
@@ -55,8 +57,10 @@
                     nursery.start_soon(part.run)
             nursery.start_soon(keeper.tick)
             log.info("serving", listen="%s:%d" % here.listen)
-            async for _ in signals:
-                break
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                _turn(discovery, counter, log)
             log.info("leaving", connections=len(clients.open))
             clients.leave()
             await trio.sleep(LINGER)
@@ -65,3 +69,16 @@
                 await clients.empty.wait()
             nursery.cancel_scope.cancel()
     log.info("left")
+
+
+def _turn(discovery: Discovery, counter: Counter | None, log: BoundLogger) -> None:
+    """Goes over to what the configuration names now. One that is not usable changes nothing: the gateway serves on."""
+    try:
+        to_discovery, to_counter = reread(os.environ)
+    except ConfigurationError as error:
+        log.error("the new configuration is not usable, the old one holds", error=str(error))
+        return
+    discovery.turn_to(to_discovery)
+    if counter is not None and to_counter is not None:
+        counter.turn_to(to_counter)
+    log.info("configuration read anew", discovery="%s:%d" % to_discovery)
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -135,9 +135,12 @@
         return left
 
     def renew(self) -> bool:
-        """Makes ready for the next exchange; False if the connection must be closed."""
+        """Makes ready for the next exchange; False if the connection must be closed. Guards against servers that say
+        more than was asked: what stands behind an answer would be taken for the next one."""
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             return False
+        if self.buffered and self.http.our_role is h11.CLIENT:
+            return False
         self.http.start_next_cycle()
         return True
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """The real gateway as a program, spoken to over sockets; servers, discovery and the counter are stand-ins here."""
 import http.client
+import io
 import json
 import os
 import random
@@ -160,7 +161,7 @@
         self.discovery = Discovery(self.list)
         self.told = told(self.discovery.address, self.list, **more)
         self.at = self.told["listen"]
-        self.context = started(folder, self.told)
+        self.folder, self.context = folder, started(folder, self.told)
 
     def __enter__(self):
         self.process = self.context.__enter__()
@@ -372,6 +373,44 @@
         assert rpc(w.at)[0] == 200 and 5 < len(w.discovery.seen) < 20
 
 
+def test_sighup_turns_to_the_addresses_of_the_new_configuration(world):
+    with world(echo, echo) as w:
+        path = w.folder / "n0.json"
+        assert rpc(w.at)[0] == 200
+        for text in ("", "[]", "{", '{"discovery": "nowhere"}'):     # unusable ones change nothing
+            path.write_text(text)
+            w.process.send_signal(signal.SIGHUP)
+            time.sleep(0.05)
+            assert rpc(w.at)[0] == 200
+        other = Discovery([w.list[1]])     # it knows of the second server only
+        path.write_text(json.dumps(w.told | {"discovery": other.address}))
+        w.process.send_signal(signal.SIGHUP)
+        w.process.send_signal(signal.SIGHUP)
+        assert until(lambda: len(other.seen) > 1) and "from=" not in other.seen[0][1]
+        time.sleep(0.1)
+        before, old = len(w.servers[0].seen), len(w.discovery.seen)
+        assert all(rpc(w.at)[0] == 200 for _ in range(6)) and len(w.servers[0].seen) == before
+        other.change([w.list[0], w.list[1] | {"state": "removed"}])
+        assert until(lambda: rpc(w.at)[0] == 200 and len(w.servers[0].seen) > before + 2)
+        assert w.process.poll() is None and len(w.discovery.seen) == old
+        other.shutdown()
+        other.server_close()
+
+
+@pytest.mark.parametrize("more", [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale", b"\x00noise\r\n\r\n"])
+def test_what_stands_behind_an_answer_is_not_the_next_one(world, more):
+    def act(handler, body):
+        wfile, handler.wfile = handler.wfile, io.BytesIO()
+        echo(handler, body)
+        wfile.write(b"HTTP/1.1 103 Early Hints\r\n\r\n" + handler.wfile.getvalue() + more)    # at one stroke
+        handler.wfile = wfile
+
+    with world(act) as w:
+        for number in range(6):
+            name = "%016x" % number
+            assert rpc(w.at, "POST", lane="hand", X_Txn=name)[:2] == (200, b"made for " + name.encode() + b" ")
+
+
 def request_bytes(**changes):
     fields = {"X-Txn": "1", "X-Lane": "read", "X-Tier": "free", "X-Remaining-Ms": "500"} | changes
     lines = [f"{name}: {value}" for name, value in fields.items() if value is not None]
@@ -558,7 +597,8 @@
 
 def test_a_configuration_that_is_not_usable_is_named(tmp_path):
     path = tmp_path / "c.json"
-    for text in ("", "[]", "{}", '{"listen": "x", "settings": {}}', '{"listen": "a:1", "discovery": "a:99999"}'):
+    for text in ("", "[]", "{}", '{"listen": "x", "settings": {}}', '{"listen": "a:1", "discovery": "a:99999"}',
+                 '{"listen": "a:1", "discovery": "a:2", "settings": {}, "known": []}'):
         path.write_text(text)
         with pytest.raises(configuration.ConfigurationError):
             configuration.read({"LB_CONFIG": str(path)})
@@ -689,7 +729,9 @@
         counter = Counter(here, queue)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(counter.run)
-            for number in range(5):
+            for number in range(6):
+                if number == 5:     # SIGHUP: the old one is still there, and has an open connection
+                    counter.turn_to(configuration.address(other.address))
                 await trio.sleep(0.1)
                 assert counter.count(face.Count(number, -2.5, 40_000))
                 with trio.fail_after(2):
@@ -697,14 +739,16 @@
             nursery.cancel_scope.cancel()
 
     totals, answers = [], []
-    server = StandIn(act)
+    server, other = StandIn(act), StandIn(lambda handler, body: handler.reply(200, b"7"))
     here = surroundings(tmp_path, counter=server.address)
     trio.run(main)
     assert totals[0] == "/counters/0?by=-2.500000&expire_ms=4000"
-    assert [answer.status for answer in answers] == [Status.OK, Status.FULL, Status.TIMED_OUT, Status.OK, Status.OK]
-    assert answers[0].total == 2.5 and [answer.name for answer in answers] == [0, 1, 2, 3, 4]
-    server.shutdown()
-    server.server_close()
+    ends = [Status.OK, Status.FULL, Status.TIMED_OUT, Status.OK, Status.OK, Status.OK]
+    assert [answer.status for answer in answers] == ends and [answer.name for answer in answers] == list(range(6))
+    assert answers[0].total == 2.5 and answers[5].total == 7.0 and (len(totals), len(other.seen)) == (5, 1)
+    for party in (server, other):
+        party.shutdown()
+        party.server_close()
 
 
 def test_a_connection_that_never_comes_up_is_given_up():
