Shed by own lag; one answer to a bad client; idle clients close in order after 2 s

A profile there: 35% in Clients._make_room, which went over all connections, those already told to leave included, for each new one; probes took twice the samples of call-outs; 28% in reading requests of bad clients.

Lines at fault: clients.py (_make_room, scan per accept; an answer was its connection's last from three quarters on, which made usual clients connect anew each time; idle connections stayed open until then), brain.py (_look sent a probe for each RPC that waits for the same server; nothing knew that the gateway was behind, and its own stalls were held against servers), heads.py (a length beside chunks was ignored), exchange.py (float() takes nan, 1_0 and 1e3; any units, spread and first went on to the module; a doubled X-Txn and a missing key passed).

Excluded: memory (20 MB), descriptors as such, the servers (no call-out failed more often).

Possible harm: a client that pauses for over two seconds between two halves of a request gets 408; one that sends to a connection just closed must connect anew; while a gateway is behind, RPCs inside quotas are pushed back with advice to come back in a second.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -1,11 +1,10 @@
 """The decision module of oakfork: one gateway's judgement of every RPC.
 
-How it is called: Brain(birth, now) once, then brain.handle(now, event) for each event, in order; the answer
-is the list of commands to carry out. Events and commands are the types of oakfork/interface.py; messages
-between gateways are packed by oakfork/peerwire.py. Times are whole tenths of a millisecond. No I/O, clock or
-global state here. Each RPC is a generator, Brain._answer, read from top to bottom: it yields Wait, Send,
-PushBack or Abort and is resumed with what came of it. The mechanism (owner, bucket, tokens, capacity,
-retry-after) is that of docs/design.md; "Exception" marks a departure from it and says when it acts.
+How it is called: Brain(birth, now) once, then brain.handle(now, event) for each event, in order; it returns
+the commands to carry out. Their types: oakfork/interface.py; messages between gateways: oakfork/peerwire.py.
+Times are whole tenths of a millisecond. No I/O, clock or global state here. Each RPC is a generator,
+Brain._answer, read from top to bottom: it yields Wait, Send, PushBack or Abort and is resumed with what came
+of it. The mechanism is that of docs/design.md; "Exception" marks a departure and says when it acts.
 """
 import heapq
 import operator
@@ -127,8 +126,8 @@
         self.slices: dict[int, Bucket] = {}     # without the owner; emptied by _check
         self.answers: dict[tuple[int, int, int], int] = {}  # ask -> wait; emptied after 4 s
         self.refusals: dict[int, tuple[int, float]] = {}    # customer -> until, units; emptied at until
-        # An even share of the intake makes an ask among hundreds wait seconds: a link starts at a quarter;
-        # an ask without a reply halves that, down to the even share, and replies bring it back.
+        # An even share of the intake makes an ask among hundreds wait seconds: a link starts at a quarter; an
+        # ask without a reply halves that, down to the even share, and replies bring it back.
         self.even = 0.9 * max(1.0, birth.mail_per_s) / SECOND / max(1, birth.gateways - 1)
         self.swift = max(self.even, birth.mail_per_s / 4 / SECOND)
         self.peers = {i: Peer(now, rate=self.swift) for i in range(birth.gateways) if i != birth.index}
@@ -139,6 +138,7 @@
         self.reply = 0.0                        # usual time from an ask to its answer
         self.trouble = 0.1                      # recent share of call-outs late or failed
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
+        self.lag = 0.0                          # how late its own timers come: how far this gateway is behind
         self.ready: list[int] = []
         self.quickest: dict[int, int] = {}      # zone -> the quickest probe
         self.looks: dict[int, list[Rpc]] = {}   # server probed -> who waits; emptied by a probe's end
@@ -156,8 +156,9 @@
                 self._ended(event)
             case face.ServerList():
                 self._list(event)
-            case face.TimeCame():
-                self.woken = None if self.woken is None or now >= self.woken else self.woken
+            case face.TimeCame() if self.woken is not None and now >= self.woken:
+                self.lag += (now - self.woken - self.lag) * 0.2     # over some five timers
+                self.woken = None
             case face.PeerFrame():
                 self._frame(event)
             case face.ProbeEnded(server):
@@ -192,9 +193,8 @@
         return place if place < past else first + place - past, number
 
     def _shares(self, plan: face.Plan, gateways: int) -> tuple[Shares, Shares]:
-        """The owner's bucket and a gateway's local slice. Exceptions: a slice holds one request at least, or
-        it never says yes; under a ceiling the slices (the owner needs none) share what that leaves above the
-        quota, so that owner and slices together stay under it however they are split."""
+        """The owner's bucket and a gateway's slice. Exceptions: a slice holds one request, or says yes never;
+        under a ceiling the slices (the owner needs none) share what that leaves above the quota."""
         rate, burst = plan.rate, plan.burst
         if plan.ceiling_rate and not rate:  # a ceiling alone: half for the owner, half for the slices
             rate, burst = plan.ceiling_rate / 2, plan.ceiling_burst / 2
@@ -209,7 +209,7 @@
 
     def _bucket(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> Bucket:
         """The customer's bucket, refilled. Missing reads as full. Exception, only under a ceiling, which
-        ignores restarts: there it reads as filled since our start, and empty at it."""
+        ignores restarts: there it reads as filled since our start."""
         bucket = table.get(ask.customer)
         if bucket is None:
             since = self.born if self.birth.plans[ask.plan].ceiling_rate else -1 << 60
@@ -222,7 +222,7 @@
     def _take(self, table: dict, ask: face.Arrival | wire.Ask, shares: Shares, holder: tuple) -> int:
         """One serial refill-and-take: 0 for yes, otherwise the time until it could be."""
         bucket = self._bucket(table, ask, shares)
-        # Quota by open call-outs: counted here, released at the end; what is never released expires.
+        # Quota by open call-outs: counted here, released at the end or expired.
         bucket.leases = {held: lost for held, lost in bucket.leases.items() if lost > self.now}
         if shares.concurrency and len(bucket.leases) >= shares.concurrency:
             return max(1, int(self.mean_latency))
@@ -234,7 +234,6 @@
         return 0
 
     def _check(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> None:
-        """Drops a full bucket; looks again in burst / rate otherwise."""
         bucket = self._bucket(table, ask, shares)
         if bucket.tokens >= shares.capacity and all(lost <= self.now for lost in bucket.leases.values()):
             del table[ask.customer]
@@ -282,8 +281,7 @@
             rpc.asking = -1
             if isinstance(answer, wire.Answer):
                 if answer.wait:
-                    # Exception: then the slice counts as spent too. Guards against hundreds of slices of one
-                    # request each, granted beside the owner whenever a reply is lost.
+                    # Exception: the slice counts as spent too, or hundreds of them grant beside the owner.
                     if local.rate:
                         self._bucket(self.slices, ask, local).tokens = 0.0
                     self.refusals[ask.customer] = (self.now + answer.wait, ask.units)
@@ -393,7 +391,10 @@
                 self._post(sender, wire.Release(answer.serial, rpc.ask.customer))
 
     def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
-        if self._random(1000) >= 1000 * self.let_in or not self._choose(rpc):
+        # Guards against too little CPU, where every answer would be late: a sixteenth of the shortest soft
+        # deadline behind, a stall that answers bear, it begins to let in less; at five times that, a tenth.
+        share = min(self.let_in, max(0.1, 1.25 - 4 * self.lag / self.shortest))
+        if self._random(1000) >= 1000 * share or not self._choose(rpc):
             self.let_in = min(1.15, self.let_in * 1.01)
             yield self._give_up(rpc)    # overload: refused before it costs an ask
             return
@@ -415,7 +416,7 @@
                     break
             yield Wait(copy_at if copy_at > self.now else rpc.dl)
             if not slow and self.now >= copy_at and len(server.open) == 1:
-                # Guards against queues of work that no longer counts, where gateways are so many that none
+                # Guards against queues of work that no longer counts, where so many gateways call that none
                 # fills a server. Held where two lone call-outs of five are late.
                 slow, self.let_in = True, max(0.02, self.let_in * 0.8)
         yield self._give_up(rpc)
@@ -453,7 +454,7 @@
             return
         rpc.out.pop(event.call_out, None)
         if event.status != Status.MOOT:
-            self._judge(server, rpc.ask.method, event.status, self.now - sent_at)
+            self._judge(server, rpc.ask.method, event.status, max(0, self.now - sent_at - int(self.lag)))
         if event.status in NEVER_RAN:
             rpc.maybe.pop(event.call_out, None)
         if event.status == Status.OK and event.true_units and self.birth.settles:
@@ -498,7 +499,7 @@
         late = elapsed > row.late
         self.trouble += ((late or status not in (Status.OK, Status.CANCELLED)) - self.trouble) * 0.05
         if status == Status.FULL or late and status in (Status.OK, Status.CANCELLED, Status.TIMED_OUT):
-            # Guards against a queue that nobody's answers leave in time, filled by what we keep out there.
+            # Guards against a queue that no answer leaves in time, filled by what we keep out there.
             server.limit = max(1.0, min(server.limit, len(server.open) + 1) * 0.8)
         elif status == Status.OK:
             # All gateways' limits add up: over the square of their number, growth settles at the same sum.
@@ -516,8 +517,8 @@
         elif status == Status.FULL:     # not ill, but it takes no more for about the time of one answer
             server.not_before = self.now + int(row.mean)
         elif status != Status.CANCELLED or late:
-            # Guards against methods that fail or go unanswered at a server, whatever it does for others, and
-            # against failures that a gateway meets too seldom to meet two: eight seconds, a usual trouble.
+            # Guards against methods that fail at a server, whatever it does for others, and against failures
+            # met too seldom to meet two: eight seconds, a usual trouble.
             if seldom:
                 server.mute[method] = self.now + 8 * SECOND
             # Two failures in a row, or a third of recent call-outs, set a server aside for a second.
@@ -526,7 +527,7 @@
                 server.aside_until, server.trickle, server.bad = self.now + SECOND, 1, 0.0
 
     def _rank(self, server: Server) -> float:
-        # Recent failures weigh up to five times: failing fast must not look quick. An eighth is chance.
+        # Recent failures weigh up to five times: failing fast is not quick. An eighth is chance.
         return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
 
     def _pause(self, server: Server) -> int:
@@ -578,20 +579,21 @@
         return sorted(fit, key=lambda index: self._rank(self.servers[index]))[:2]
 
     def _look(self, rpc: Rpc) -> Generator[Wait, object, int | None]:
-        """Probes the best two where there is trouble and one was not heard for a second, two more while what
-        it saw is slow or silent; takes the least pressed. Guards against what a gateway that sees a server
-        seldom can't know: queues, hangs, pauses, slow servers, overload by hundreds of gateways."""
+        """Probes the best two where there is trouble and one was not heard for a second, two more while all are
+        slow; takes the least pressed. Guards against what a gateway sees too seldom."""
         row, seen, asked = rpc.row, {}, []
         for _ in range(3):
             picks = self._choose(rpc)
             calm = self.trouble < 0.05 or all(self.now < self.servers[i].heard + SECOND for i in picks)
+            calm = calm or self.lag > self.shortest / 32    # a probe would tell of this gateway's own stalls
             if not self.birth.probing or calm and not asked and not rpc.out:
                 return next(iter(picks), None)
             for index in picks:
                 if index not in asked:
                     asked.append(index)
+                    if index not in self.looks:     # one probe tells all who wait for it
+                        self.commands.append(face.Probe(index))
                     self.looks.setdefault(index, []).append(rpc)
-                    self.commands.append(face.Probe(index))
             until = min(rpc.dl, self.now + max(1, self.shortest // 15))
             while self.now < until and len(seen) < len(asked):
                 probe = yield Wait(until)
--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -14,22 +14,25 @@
 from oakfork.sockets.messages import Came, Left, Told
 
 BACKLOG = 512
-SPARED = 1.0        # seconds that a connection stays open after its start or last answer, if there is room or not
-PATIENCE = 10.0     # seconds for a whole request once begun, and for a client to take its answer
+SPARED = 0.25       # seconds that a connection stays open after its start or last answer, if there is room or not
+PATIENCE = 2.0      # seconds for a whole request once begun or connected, and for a client to take its answer
+IDLE = 2.0          # seconds that a connection stays open after its last answer: some clients hold theirs for good
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))    # whose answers have plain bodies
 PLAIN_STATUS = {Ending.MALFORMED: 400, Ending.OVERSIZED: 413, Ending.SILENT: 408}
 
 
 class Clients:
-    """All connections of clients, `most` at a time; others wait to be accepted. Over three quarters of that an answer
-    is its connection's last, and idle ones make room."""
+    """All connections of clients, `most` at a time; others wait to be accepted. Over three quarters of that idle ones
+    make room, and at the bound an answer is its connection's last."""
 
     def __init__(self, here: Surroundings, sock: socket.socket, most: int, queue: trio.MemorySendChannel[Told],
                  nursery: trio.Nursery, log: BoundLogger) -> None:
         self.here, self.most, self.queue, self.nursery, self.log = here, most, queue, nursery, log
         self.many = most * 3 // 4
         self.leaving = self.full = False
-        self.open: dict[Client, None] = {}      # those longest without an answer or a start first
+        self.open: set[Client] = set()
+        self.idle: dict[Client, float] = {}     # of those, with nothing begun: since when, the longest first
+        self.ids: set[bytes] = set()            # of the RPCs that are not answered yet
         self.empty = trio.Event()       # set once it is leaving and all connections are closed
         self.accepting = trio.CancelScope()
         self.sock = sock
@@ -44,42 +47,56 @@
                         self.log.warning("no room for a client", connections=len(self.open))
                     self.full = True
                     while len(self.open) >= self.most:
-                        self._make_room()
+                        self._close_idle(SPARED, 1)
                         await trio.sleep(0.02)
                 try:
-                    sock, _ = self.sock.accept()
+                    while len(self.open) < self.most:
+                        self._take_in(self.sock.accept()[0])
                 except OSError as error:
                     if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
                         await trio.sleep(0.02)      # until others have closed theirs
-                    continue
-                try:
-                    client = Client(self, sock)
-                except OSError:     # gone already
-                    sock.close()
-                    continue
-                self.open[client] = None
-                if len(self.open) > self.many:
-                    self._make_room()
-                self.nursery.start_soon(client.serve)
         self.sock.close()
         self.leave()
 
-    def _make_room(self) -> None:
+    def _take_in(self, sock: socket.socket) -> None:
+        try:
+            client = Client(self, sock)
+        except OSError:     # gone already
+            sock.close()
+            return
+        self.open.add(client)
+        self.idle[client] = client.since
+        if len(self.open) > self.many:
+            self._close_idle(SPARED, 1)
+        self.nursery.start_soon(client.serve)
+
+    def _close_idle(self, spared: float, most: int) -> None:
         """Guards against idle clients that leave no descriptor to others. One that has just come or been answered is
-        spared: its next request may be on its way, and the client would send it on another new connection only once."""
-        for client in self.open:
-            if trio.current_time() - client.since < SPARED or client.leave_if_idle():
+        spared: its next request may be on its way, and the client would send it on another new connection only once.
+        Each is looked at once: what has bytes unread is idle no more."""
+        last = trio.current_time() - spared
+        while self.idle and most:
+            client, since = next(iter(self.idle.items()))
+            if since > last:
                 return
+            del self.idle[client]
+            most -= client.leave_if_idle()
+
+    async def sweep(self) -> None:
+        """Guards against memory and descriptors that grow with the clients ever seen."""
+        while True:
+            await trio.sleep(SPARED)
+            self._close_idle(IDLE, self.most)
 
     def leave(self) -> None:
         """From now on each answer is its connection's last, and idle connections close."""
         self.leaving = True
-        for client in self.open:
-            client.leave_if_idle()
+        self._close_idle(0.0, self.most)
         self.left(None)
 
     def left(self, client: "Client | None") -> None:
-        self.open.pop(client, None)
+        self.open.discard(client)
+        self.idle.pop(client, None)
         self.full = self.full and len(self.open) >= self.many
         if self.leaving and not self.open:
             self.empty.set()
@@ -101,6 +118,7 @@
         self.all = all_clients
         self.link = Link(sock, h11.SERVER)
         self.scope = trio.CancelScope()     # cancelled when the connection is to be closed
+        self.fresh = True       # nothing whole has come on it
         self.exchange: Exchange | None = None   # not answered yet
         self.since = trio.current_time()    # its start or last answer
         self.behind = False     # the end of an answer is still being written
@@ -124,6 +142,7 @@
             trio.lowlevel.notify_closing(self.link.sock)
             self.link.close()
             if self.exchange:
+                self.all.ids.discard(self.exchange.id)
                 self.all.tell(Left(self.exchange))
             self.all.left(self)
 
@@ -132,7 +151,7 @@
 
     def leave_if_idle(self) -> bool:
         """Closes the connection unless something has come that is not answered, read or not."""
-        idle = not self._busy() and not self.link.buffered and not self.scope.cancel_called and self.link.lively()
+        idle = not self._busy() and not self.link.buffered and self.link.lively()
         if idle:
             self.scope.cancel()
         return idle
@@ -141,15 +160,20 @@
         """Takes what has come whole, one request at a time."""
         try:
             while not self._busy() and (message := self.link.parse()):
-                self.scope.deadline = float("inf")
+                self.all.idle.pop(self, None)
+                self.fresh = False
+                if self.scope.deadline != float("inf"):
+                    self.scope.deadline = float("inf")
                 self._take(message)
         except Break as end:
             if end.ending in PLAIN_STATUS:
                 self._write(Answer(PLAIN_STATUS[end.ending]))
             self.scope.cancel()
             return
-        if self.link.buffered and not self.exchange and self.scope.deadline == float("inf"):
-            self.scope.deadline = trio.current_time() + PATIENCE
+        if self.link.buffered and not self.exchange:
+            if self.scope.deadline == float("inf"):
+                self.all.idle.pop(self, None)
+                self.scope.deadline = (self.since if self.fresh else trio.current_time()) + PATIENCE
             if self.link.http.they_are_waiting_for_100_continue:
                 self.link.put(h11.InformationalResponse(status_code=100, headers=[]))
 
@@ -163,14 +187,20 @@
             self._write(Answer(404))
         else:
             try:
-                exchange = Exchange(message, self.all.here.names, self.all.here.birth.gateways, self._answer)
+                exchange = Exchange(message, self.all.here.names, self.all.here.birth, self._answer)
             except BadRequest as error:
-                self._write(Answer(400, str(error).encode() + b"\n", b"text/plain"))
-            else:
-                self.exchange = exchange
-                self.all.tell(Came(exchange))
+                # Guards against bad requests by the hundred: one is answered, what stands behind it is never read.
+                self._write(Answer(400, str(error).encode() + b"\n", b"text/plain", last=True))
+                return
+            if exchange.id in self.all.ids:     # another client's: a server would take it for a second copy
+                self._write(Answer(409, last=True))
+                return
+            self.all.ids.add(exchange.id)
+            self.exchange = exchange
+            self.all.tell(Came(exchange))
 
     def _answer(self, answer: Answer) -> None:
+        self.all.ids.discard(self.exchange.id)
         self.exchange = None
         self.caught_up.set()
         try:
@@ -190,12 +220,10 @@
         if answer.retry_after:
             whole = answer.retry_after == int(answer.retry_after)     # as RFC 9110 has it; decimals only where needed
             headers.append((b"retry-after", (b"%d" if whole else b"%.3f") % answer.retry_after))
-        last = self.all.leaving or len(self.all.open) > self.all.many
+        last = answer.last or self.all.leaving or len(self.all.open) >= self.all.most
         if last:
             headers.append((b"connection", b"close"))
         self.since = trio.current_time()
-        if self in self.all.open:       # now the last
-            self.all.open[self] = self.all.open.pop(self)
         left = self.link.put(h11.Response(status_code=answer.status, headers=headers), answer.body)
         last = not self.link.renew() or last
         if left:
@@ -203,6 +231,8 @@
             self.all.nursery.start_soon(self._write_rest, left, last)
         elif last:
             self.scope.cancel()
+        elif not self.link.buffered:
+            self.all.idle[self] = self.since
 
     async def _write_rest(self, left: list[memoryview], last: bool) -> None:
         with trio.CancelScope(deadline=trio.current_time() + PATIENCE) as scope:
@@ -212,8 +242,10 @@
                 last = True
         self.behind = False
         self.caught_up.set()
-        if last or scope.cancelled_caught:
+        if last or scope.cancelled_caught or self.all.leaving:
             self.scope.cancel()
         elif self.link.buffered:
             with contextlib.suppress(Break):
                 self._go_on()
+        else:
+            self.all.idle[self] = trio.current_time()
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -6,6 +6,7 @@
 import trio
 
 from oakfork.birth import tenths
+from oakfork.interface import Birth, Repeat
 from oakfork.sockets.configuration import Names
 from oakfork.sockets.heads import Header, Message, pairs
 
@@ -14,8 +15,11 @@
                            b"upgrade", b"expect", b"content-length", b"x-remaining-ms",
                            b"x-lane", b"x-tier", b"x-call-terms", b"x-resent"))
 
-CLIENT = re.compile(rb"[?&]client=([0-9a-fA-F]{16})(?:&|$)")
+CLIENT = re.compile(rb"[?&]client=([^&]*)")
+CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+NUMBER = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")     # float() would take 'nan', '1_0' and '1e3' as well
 LARGEST_CUSTOMER = 1 << 33      # PROTOCOL
+OURS = frozenset((b"x-txn", b"x-lane", b"x-tier", b"x-remaining-ms", b"x-call-terms", b"idempotency-key"))
 
 
 class BadRequest(Exception):
@@ -27,6 +31,7 @@
     body: bytes = b""
     content_type: bytes | None = None
     retry_after: float = 0.0    # seconds; 0: no advice
+    last: bool = False          # nothing more is taken from that connection
 
 
 class CallOut:
@@ -47,7 +52,7 @@
 class Exchange:
     """An RPC from its head to its answer, with its call-outs."""
 
-    def __init__(self, message: Message, names: Names, gateways: int, answer: Callable[[Answer], None]) -> None:
+    def __init__(self, message: Message, names: Names, birth: Birth, answer: Callable[[Answer], None]) -> None:
         self.received = trio.current_time()
         self.message = message
         self.answer = answer            # called once
@@ -55,17 +60,21 @@
         self.sent = 0
         rows = list(message.head.headers)   # h11 builds each row anew
         headers = dict(rows)
+        if len(headers) < len(rows) and sum(row[0] in OURS for row in rows) > len(OURS & headers.keys()):
+            raise BadRequest("a header of the protocol stands there twice")
         self.customer = _customer(message.head.target)
         self.method = _named(names.methods, headers, b"x-lane")
         self.plan = _named(names.plans, headers, b"x-tier")
-        if not headers.get(b"x-txn"):
+        self.id = headers.get(b"x-txn", b"")
+        if not self.id:
             raise BadRequest("no X-Txn")
-        self.time_left = tenths(_number(headers.get(b"x-remaining-ms"), "X-Remaining-Ms"))
+        row = birth.methods[self.method]
+        if row.repeat == Repeat.DEDUPLICATED and not headers.get(b"idempotency-key"):
+            raise BadRequest("no Idempotency-Key")      # sent again, it would run twice
+        # Guards against call-outs that stay for as long as a client says: nobody waits longer than the deadline.
+        self.time_left = min(tenths(_number(headers.get(b"x-remaining-ms", b""), "X-Remaining-Ms")), row.deadline)
         self.until = self.received + self.time_left / 10_000
-        terms = _terms(headers.get(b"x-call-terms", b""))
-        self.units = terms.get(b"units", 1.0)
-        self.first_gateway = int(terms.get(b"first", 0))
-        self.spread = int(terms.get(b"spread", gateways))
+        self.units, self.first_gateway, self.spread = _terms(headers.get(b"x-call-terms", b""), birth)
         self.repeated = headers.get(b"x-resent") == b"1"
         self.headers: list[Header] = [row for row in rows if row[0] not in NOT_PASSED_ON]
         if b"host" not in headers:      # HTTP/1.0 may leave it out
@@ -81,10 +90,10 @@
 
 
 def _customer(target: bytes) -> int:
-    found = CLIENT.search(target)
-    if found is None:
+    found = CLIENT.findall(target)
+    if len(found) != 1 or not CUSTOMER.fullmatch(found[0]):
         raise BadRequest("the query names no client in 16 hex digits")
-    customer = int(found[1], 16)
+    customer = int(found[0], 16)
     if customer >= LARGEST_CUSTOMER:
         raise BadRequest("the client's number is out of range")
     return customer
@@ -97,19 +106,21 @@
     return number
 
 
-def _number(text: bytes | None, what: str) -> float:
-    try:
-        number = float(text or b"")
-    except ValueError:
-        number = -1.0
-    if not 0 <= number < 1e9:
+def _number(text: bytes, what: str) -> float:
+    if not NUMBER.fullmatch(text):
         raise BadRequest(f"{what} is not a number in range")
-    return number
-
-
-def _terms(text: bytes) -> dict[bytes, float]:
-    terms = {}
-    for name, value in pairs(text):
-        if name:
-            terms[name] = _number(value, "X-Call-Terms")
-    return terms
+    return float(text)
+
+
+def _terms(text: bytes, birth: Birth) -> tuple[float, int, int]:
+    """Units, first gateway and spread, each in the range of the settings."""
+    rows = list(pairs(text)) if text else []
+    terms = dict(rows)
+    units = _number(terms.get(b"units", b"1"), "units")
+    first = _number(terms.get(b"first", b"0"), "first")
+    spread = _number(terms.get(b"spread", b"%d" % birth.gateways), "spread")
+    whole = first == int(first) and spread == int(spread)
+    whole = whole and len(terms) == len(rows)   # nor told twice
+    if not (0 < units <= birth.most_units and whole and first < birth.gateways and 1 <= spread <= birth.gateways):
+        raise BadRequest("X-Call-Terms are out of range")
+    return units, int(first), int(spread)
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -56,6 +56,7 @@
                 if part is not None:
                     nursery.start_soon(part.run)
             nursery.start_soon(keeper.tick)
+            nursery.start_soon(clients.sweep)
             log.info("serving", listen="%s:%d" % here.listen)
             async for number in signals:
                 if number != signal.SIGHUP:
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -40,6 +40,21 @@
         yield name, value
 
 
+def _sound(head: h11.Request | h11.Response) -> None:
+    """Guards against bodies that hide a second message (a length and chunks both told, RFC 9112, 6.3), and against
+    those told to be larger than the protocol allows, before any of it is taken."""
+    length = chunks = None
+    for name, value in head.headers:
+        if name == b"content-length":
+            length = int(value)
+        elif name == b"transfer-encoding":
+            chunks = value
+    if chunks is not None and (length is not None or head.http_version < b"1.1"):
+        raise Break(Ending.MALFORMED)
+    if length is not None and length > LARGEST_BODY:
+        raise Break(Ending.OVERSIZED)
+
+
 class Link:
     """A connection and what h11 knows of it. The socket doesn't block: a task waits only where there is nothing to
     read or no room to write, which spares the checkpoint after each call that trio's own sockets have."""
@@ -78,6 +93,7 @@
                 return None
             if isinstance(event, (h11.Request, h11.Response)):
                 self.head = event
+                _sound(event)
             elif isinstance(event, h11.Data):
                 self.size += len(event.data)
                 if self.size > LARGEST_BODY:
