Start buckets full under a ceiling in a first life; forget servers that are gone

A trace of refusals: most came from owners, of the plan with a ceiling, 0.5 tokens of a capacity of 23 at the first second. Brain._bucket reads a missing bucket under a ceiling as empty at the gateway's start, for fear of a second burst after a restart; at a first start there was no first one. Gateways now tell one another in the frame's first byte whether they knew an earlier life of the receiver; once all others say no, those buckets read as full. What was spent before from empty ones is at most what the rate gave, so the quota holds.

Excluded: the memory of refusals (766 of 6,750), slices (2), lost asks.

Possible harm: all gateways of a tier restarting at once could grant a second burst under a ceiling.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True)
 class Server:
-    """What this gateway has seen of a server. One row a machine ever listed, anew for each of its starts."""
+    """What this gateway has seen of a server, anew for each of its starts. Dropped by _list when gone."""
     since: int = 0
     zone: int = 0
     cell: int = 0
@@ -61,6 +61,7 @@
     """The link to another gateway."""
     due: float              # when the next frame would go, had all gone evenly
     life: int = 0           # 0 until it has been heard
+    again: bool = False     # it was heard in an earlier life as well
     sent: int = 0           # number of the last frame to it
     window: wire.Window = field(default_factory=wire.Window)
     skew: int | None = None     # the least difference of clocks seen: a frame without delay
@@ -126,17 +127,15 @@
         self.slices: dict[int, Bucket] = {}     # without the owner; emptied by _check
         self.answers: dict[tuple[int, int, int], int] = {}  # ask -> wait; emptied after 4 s
         self.refusals: dict[int, tuple[int, float]] = {}    # customer -> until, units; emptied at until
-        # An even share of the intake makes an ask among hundreds wait seconds: a link starts at a quarter; an
-        # ask without a reply halves that, down to the even share, and replies bring it back.
+        self.strangers = set(range(max(2, birth.gateways))) - {birth.index}     # may know our earlier life
         self.even = 0.9 * max(1.0, birth.mail_per_s) / SECOND / max(1, birth.gateways - 1)
-        self.swift = max(self.even, birth.mail_per_s / 4 / SECOND)
+        self.swift = max(self.even, birth.mail_per_s / 4 / SECOND)  # at first; an ask with no reply halves it
         self.peers = {i: Peer(now, rate=self.swift) for i in range(birth.gateways) if i != birth.index}
         self.alarms: list[tuple[int, int, Callable, tuple]] = []
         self.alarm_no = self.serial = 0
         self.woken: int | None = None
         self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
-        self.reply = 0.0                        # usual time from an ask to its answer
-        self.trouble = 0.1                      # recent share of call-outs late or failed
+        self.reply, self.trouble = 0.0, 0.1     # usual wait for a reply; recent share of calls late or failed
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
         self.lag = 0.0                          # how late its own timers come: how far this gateway is behind
         self.ready: list[int] = []
@@ -149,8 +148,8 @@
         match event:
             case face.Arrival():
                 row = self.methods[event.method]
-                rpc = Rpc(event.rpc, event, row, now + row.soft, now + event.time_left)
-                self.rpcs[rpc.id], rpc.run = rpc, self._answer(rpc)
+                rpc = self.rpcs[event.rpc] = Rpc(event.rpc, event, row, now + row.soft, now + event.time_left)
+                rpc.run = self._answer(rpc)
                 self._resume(rpc, None)
             case face.CallOutEnded():
                 self._ended(event)
@@ -209,10 +208,10 @@
 
     def _bucket(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> Bucket:
         """The customer's bucket, refilled. Missing reads as full. Exception, only under a ceiling, which
-        ignores restarts: there it reads as filled since our start."""
+        ignores restarts: until all others say that they never knew us before, as filled since our start."""
         bucket = table.get(ask.customer)
         if bucket is None:
-            since = self.born if self.birth.plans[ask.plan].ceiling_rate else -1 << 60
+            since = self.born if self.strangers and self.birth.plans[ask.plan].ceiling_rate else -1 << 60
             bucket = table[ask.customer] = Bucket(0.0 if shares.rate else shares.capacity, since)
             self._at(self.now, self._check, table, ask, shares)
         bucket.tokens = min(shares.capacity, bucket.tokens + (self.now - bucket.updated) * shares.rate)
@@ -222,7 +221,6 @@
     def _take(self, table: dict, ask: face.Arrival | wire.Ask, shares: Shares, holder: tuple) -> int:
         """One serial refill-and-take: 0 for yes, otherwise the time until it could be."""
         bucket = self._bucket(table, ask, shares)
-        # Quota by open call-outs: counted here, released at the end or expired.
         bucket.leases = {held: lost for held, lost in bucket.leases.items() if lost > self.now}
         if shares.concurrency and len(bucket.leases) >= shares.concurrency:
             return max(1, int(self.mean_latency))
@@ -261,13 +259,11 @@
         if until > self.now and ask.units >= units:
             return until - self.now
         peer = self.peers.get(owner)
-        # Exception: after two asks without a reply (one lost is common) the owner counts as silent (down,
-        # stalled, cut off): RPCs go straight to the slice, and one ask goes out every quarter of a second.
+        # Exception: after two asks without a reply the owner counts as silent: one goes out each 250 ms.
         silent = peer and peer.missed >= 2 and self.now < peer.next_try
         if peer and self.birth.peers and self.birth.mail_per_s and not silent:
             peer.next_try = self.now + SECOND // 4
-            peer.asks[serial] = rpc, self.now
-            rpc.asking = serial
+            rpc.asking, peer.asks[serial] = serial, (rpc, self.now)
             self._at(self.now + 4 * SECOND, peer.asks.pop, serial, None)    # far past any useful answer
             # A tenth of the soft deadline. Exceptions: where replies take longer, twice their usual time, up
             # to a third; where the slice has spent or has a ceiling's part only, it asks up to three times.
@@ -332,9 +328,8 @@
         if peer.queue and peer.due <= ahead:
             peer.due = max(peer.due, self.now) + 1 / peer.rate
             peer.sent = (peer.sent + 1) & 0xFFFF
-            clock = self.now // 10 & 0xFFFF
-            data = wire.pack(self.life, peer.life, peer.sent, clock, wire.fill(peer.queue))
-            self.commands.append(face.Tell(to, data))
+            head = self.life, peer.life, peer.sent, self.now // 10
+            self.commands.append(face.Tell(to, wire.pack(*head, wire.fill(peer.queue), peer.again)))
         if peer.queue:
             self._at(self.now + int(peer.due - ahead) + 1, self._flush, to)
 
@@ -344,9 +339,15 @@
             return
         if frame.life != peer.life:     # it has restarted: what it held or was asked is void
             if peer.life:
+                peer.again = True
                 peer.asks.clear()
                 peer.queue.clear()
             peer.life, peer.window, peer.skew = frame.life, wire.Window(), None
+            if self.strangers:
+                earlier = frame.again or frame.to_life not in (0, self.life)
+                self.strangers = {-1} if earlier else self.strangers - {event.sender}
+                for bucket in () if self.strangers else (*self.buckets.values(), *self.slices.values()):
+                    bucket.tokens = float("inf")    # our first life: what reads as empty was full
         if not peer.window.fresh(frame.number):
             return
         # Exception: asks of a stale backlog are skipped: 300 ms above the least delay seen from that peer.
@@ -354,8 +355,7 @@
         if peer.skew is None or (delay - peer.skew + 0x8000 & 0xFFFF) < 0x8000:
             peer.skew = delay
         stale = (delay - peer.skew & 0xFFFF) > 300
-        if not stale:
-            peer.missed = 0
+        peer.missed = peer.missed if stale else 0
         for item in frame.items:
             if isinstance(item, wire.Ask | wire.Return):
                 if item.plan >= len(self.birth.plans):
@@ -391,8 +391,7 @@
                 self._post(sender, wire.Release(answer.serial, rpc.ask.customer))
 
     def _answer(self, rpc: Rpc) -> Generator[object, object, None]:
-        # Guards against too little CPU, where every answer would be late: a sixteenth of the shortest soft
-        # deadline behind, a stall that answers bear, it begins to let in less; at five times that, a tenth.
+        # Guards against too little CPU: a sixteenth of the shortest soft deadline behind, it lets in less.
         share = min(self.let_in, max(0.1, 1.25 - 4 * self.lag / self.shortest))
         if self._random(1000) >= 1000 * share or not self._choose(rpc):
             self.let_in = min(1.15, self.let_in * 1.01)
@@ -416,8 +415,7 @@
                     break
             yield Wait(copy_at if copy_at > self.now else rpc.dl)
             if not slow and self.now >= copy_at and len(server.open) == 1:
-                # Guards against queues of work that no longer counts, where so many gateways call that none
-                # fills a server. Held where two lone call-outs of five are late.
+                # Guards against queues that no gateway fills alone; held where two lone ones of five are late
                 slow, self.let_in = True, max(0.02, self.let_in * 0.8)
         yield self._give_up(rpc)
 
@@ -492,6 +490,10 @@
             server.zone, server.cell, server.state = entry.zone, entry.cell, entry.state
         for index in event.complete and self.servers.keys() - {entry.server for entry in event.entries} or ():
             self.servers[index].state = State.GONE
+        for index in [i for i, gone in self.servers.items() if gone.state == State.GONE and not gone.open
+                      and i not in self.looks and self.now > gone.sent_at + self.longest]:
+            del self.servers[index]     # no RPC can speak of it any more
+            self.commands.append(face.Forget(index))
         self.ready = [index for index, server in sorted(self.servers.items()) if server.state == State.READY]
 
     def _judge(self, server: Server, method: int, status: Status, elapsed: int) -> None:
@@ -505,8 +507,7 @@
             # All gateways' limits add up: over the square of their number, growth settles at the same sum.
             server.limit += min(4 / self.birth.gateways ** 2 / server.limit, server.limit / 2)
             self.let_in = min(1.15, self.let_in * 1.15)
-        if status != Status.CANCELLED:
-            server.heard = self.now
+        server.heard = server.heard if status == Status.CANCELLED else self.now
         if status == Status.OK:
             row.mean += (elapsed - row.mean) * 0.05     # over some twenty answers
             self.mean_latency += (elapsed - self.mean_latency) * 0.05
@@ -517,8 +518,7 @@
         elif status == Status.FULL:     # not ill, but it takes no more for about the time of one answer
             server.not_before = self.now + int(row.mean)
         elif status != Status.CANCELLED or late:
-            # Guards against methods that fail at a server, whatever it does for others, and against failures
-            # met too seldom to meet two: eight seconds, a usual trouble.
+            # Guards against methods that fail there only, and failures too seldom to meet two, for some time.
             if seldom:
                 server.mute[method] = self.now + 8 * SECOND
             # Two failures in a row, or a third of recent call-outs, set a server aside for a second.
@@ -531,8 +531,7 @@
         return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * (1 + self._random(64) / 512)
 
     def _pause(self, server: Server) -> int:
-        """The time between own call-outs to a cold server: all gateways together send what it can do for
-        certain (the ramp, its mean since the last) of fall-multiple. Guards against pushing it over."""
+        """The time between own call-outs to a cold server: all gateways together must not push it over."""
         if not server.since or self.now >= server.since + self.birth.cold_time:
             return 0
         ages = max(0, self.now - server.since) + max(0, server.sent_at - server.since)
@@ -554,7 +553,7 @@
 
     def _may(self, rpc: Rpc, index: int) -> bool:
         """Whether the rules let this RPC have one more call-out, to this server."""
-        row, server = rpc.row, self.servers[index]
+        row, server = rpc.row, self.servers.get(index) or Server()
         if server.state != State.READY or index in rpc.out.values() or rpc.sent >= self.birth.max_call_outs:
             return False
         if not rpc.maybe or row.repeat == Repeat.IDEMPOTENT:
@@ -579,8 +578,8 @@
         return sorted(fit, key=lambda index: self._rank(self.servers[index]))[:2]
 
     def _look(self, rpc: Rpc) -> Generator[Wait, object, int | None]:
-        """Probes the best two where there is trouble and one was not heard for a second, two more while all are
-        slow; takes the least pressed. Guards against what a gateway sees too seldom."""
+        """Probes the best two where there is trouble and one was not heard for a second, two more while all
+        are slow; takes the least pressed. Guards against what a gateway sees too seldom."""
         row, seen, asked = rpc.row, {}, []
         for _ in range(3):
             picks = self._choose(rpc)
@@ -603,8 +602,7 @@
                     self.quickest[zone] = min(self.quickest.get(zone, SECOND), probe.elapsed)
                     seen[probe.server] = probe.elapsed - self.quickest[zone]
             for index in sorted(seen, key=seen.get):
-                # Latency goes with pressure; four stands for the probe's own work, or for the cores. Over two
-                # fifths of the time left a server is near the point where it holds too much to be quick.
+                # Latency goes with pressure; four stands for the probe's own work, or for the cores.
                 slow = row.mean * (seen[index] + 4) / (row.pressure + 4)
                 fits = slow < 0.4 * (min(rpc.soft, rpc.dl) - self.now)
                 fits = fits and (not rpc.out or seen[index] <= row.pressure)    # a copy: where less is held
--- a/oakfork/door.py
+++ b/oakfork/door.py
@@ -17,18 +17,28 @@
 
 class Door(Generic[RpcId, ServerId]):
     def __init__(self) -> None:
-        self.servers: dict[ServerId, int] = {}      # grows with the machines ever listed only
-        self.server_ids: list[ServerId] = []
+        self.servers: dict[ServerId, int] = {}      # emptied by forget
+        self.server_ids: list[ServerId | None] = []
+        self.spare: list[int] = []                  # indices of forgotten servers
         self.rpcs: dict[RpcId, int] = {}            # emptied as RPCs end
         self.tickets: list[Ticket[RpcId] | None] = []
         self.free: list[int] = []
 
     def server(self, true_id: ServerId) -> int:
         if true_id not in self.servers:
-            self.servers[true_id] = len(self.server_ids)
-            self.server_ids.append(true_id)
+            if not self.spare:
+                self.spare.append(len(self.server_ids))
+                self.server_ids.append(None)
+            index = self.servers[true_id] = self.spare.pop()
+            self.server_ids[index] = true_id
         return self.servers[true_id]
 
+    def forget(self, index: int) -> None:
+        """The module knows nothing of that server any more: its index may be used for another."""
+        del self.servers[self.server_ids[index]]
+        self.server_ids[index] = None
+        self.spare.append(index)
+
     def admit(self, true_id: RpcId) -> int:
         index = self.free.pop() if self.free else len(self.tickets)
         if index == len(self.tickets):
--- a/oakfork/interface.py
+++ b/oakfork/interface.py
@@ -217,6 +217,11 @@
     server: int
 
 
+class Forget(NamedTuple):
+    """The server is gone and nothing is known of it any more: its index may be used for another."""
+    server: int
+
+
 class Count(NamedTuple):
     """Adds to a number that the counter service keeps."""
     name: int
@@ -228,5 +233,5 @@
     text: str
 
 
-Command = (Send | PushBack | Abort | Cancel | Wake | Probe | Tell | Subscribe | ReadList | CloseIdle | Count
-           | Note)
+Command = (Send | PushBack | Abort | Cancel | Wake | Probe | Tell | Subscribe | ReadList | CloseIdle | Forget
+           | Count | Note)
--- a/oakfork/peerwire.py
+++ b/oakfork/peerwire.py
@@ -1,14 +1,15 @@
 """Packing of the messages between gateways: items coalesced into frames of at most 256 bytes.
 
-A frame: version, the sender's life, the life it believes the receiver to be in (0: unknown), the frame's
-number, the sender's clock in milliseconds; then items of a fixed length a kind. No decision is taken here.
+A frame: version and whether the sender knew the receiver in an earlier life, the sender's life, the life it
+believes the receiver to be in (0: unknown), the frame's number, the sender's clock in milliseconds; then items
+of a fixed length a kind. No decision is taken here.
 """
 import struct
 from collections import deque
 from typing import NamedTuple
 
 LARGEST = 256
-VERSION = 1
+VERSION, AGAIN = 2, 0x80
 HEADER = struct.Struct("<BHHHH")
 UNIT = 16           # units travel in sixteenths
 PAUSE = 100         # waits travel in hundredths of a second (of tenths of a millisecond)
@@ -42,6 +43,7 @@
     to_life: int
     number: int
     clock: int
+    again: bool         # the sender knew the receiver in an earlier life
     items: tuple
 
 
@@ -65,8 +67,8 @@
     return bytes((kind,)) + LAYOUT[kind].pack(*values)
 
 
-def pack(life: int, to_life: int, number: int, clock: int, packed: list[bytes]) -> bytes:
-    return HEADER.pack(VERSION, life, to_life, number, clock) + b"".join(packed)
+def pack(life: int, to_life: int, number: int, clock: int, packed: list[bytes], again: bool = False) -> bytes:
+    return HEADER.pack(VERSION | AGAIN * again, life, to_life, number, clock & 0xFFFF) + b"".join(packed)
 
 
 def fill(queue: deque[bytes]) -> list[bytes]:
@@ -103,9 +105,9 @@
 
 def unpack(data: bytes) -> Frame | None:
     """The frame, or None where it is truncated, too long or not ours."""
-    if not HEADER.size <= len(data) <= LARGEST or data[0] != VERSION:
+    if not HEADER.size <= len(data) <= LARGEST or data[0] & ~AGAIN != VERSION:
         return None
-    _, life, to_life, number, clock = HEADER.unpack_from(data)
+    version, life, to_life, number, clock = HEADER.unpack_from(data)
     items: list[Item] = []
     at = HEADER.size
     while at < len(data):
@@ -124,4 +126,4 @@
             items.append(Return(low | high << 32, plan, units / UNIT))
         else:
             items.append(Release(values[0], values[1] | values[2] << 32))
-    return Frame(life, to_life, number, clock, tuple(items))
+    return Frame(life, to_life, number, clock, version & AGAIN > 0, tuple(items))
--- a/oakfork/sockets/endings.py
+++ b/oakfork/sockets/endings.py
@@ -17,6 +17,7 @@
     ENDED = auto()          # the other side ended it after that
     MALFORMED = auto()      # what came is not HTTP
     OVERSIZED = auto()      # what came is larger than the protocol allows
+    STALLED = auto()        # the answer began and did not go on
     SILENT = auto()         # nothing came in time
     GIVEN_UP = auto()       # this side gave it up
     TOO_LATE = auto()       # the RPC was over before anything was written
@@ -34,6 +35,7 @@
     Ending.ENDED: Status.RESET,
     Ending.MALFORMED: Status.RESET,
     Ending.OVERSIZED: Status.RESET,
+    Ending.STALLED: Status.RESET,
     Ending.SILENT: Status.TIMED_OUT,
     Ending.GIVEN_UP: Status.CANCELLED,
     Ending.TOO_LATE: Status.MOOT,
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -109,10 +109,17 @@
             elif event is h11.PAUSED:
                 raise Break(Ending.MALFORMED)
 
-    async def read(self) -> Message:
-        """The next whole message."""
+    async def read(self, patience: float = float("inf")) -> Message:
+        """The next whole message. Guards against answers that stop half-way: one that has begun may pause for so long
+        and no longer."""
         while (message := self.parse()) is None:
-            await self.fill()
+            if self.head is None and not self.http.trailing_data[0]:
+                await self.fill()
+                continue
+            with trio.move_on_after(patience) as scope:
+                await self.fill()
+            if scope.cancelled_caught:
+                raise Break(Ending.STALLED)
         return message
 
     def put(self, head: h11.Request | h11.Response | h11.InformationalResponse, body: bytes = b"") -> list[memoryview]:
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -35,7 +35,7 @@
         self.discovery, self.peers, self.counter, self.nursery, self.log = discovery, peers, counter, nursery, log
         self.epoch = time.time() - trio.current_time()     # the module's clock counts as Unix time does
         self.door: Door[Exchange, str] = Door()
-        self.addresses: list[Address] = []                  # by the server's index
+        self.starts: list[tuple[Address, int]] = []         # by the server's index: where and since when it runs
         self.wakes: list[tuple[int, int]] = []              # when, token; emptied as they come
         self.alarm = trio.CancelScope()                     # comes when the first of them is due
         self.latest = 0
@@ -157,7 +157,10 @@
             case face.ReadList():
                 self.nursery.start_soon(self.discovery.read_once)
             case face.CloseIdle(server):
-                self.servers.close_idle(self.addresses[server])
+                self.servers.close_idle(server)
+            case face.Forget(server):
+                self.servers.close_idle(server)
+                self.door.forget(server)
             case face.Count():
                 if not self.counter or not self.counter.count(command):
                     self.own.append(face.CounterAnswered(STATUS[Ending.NO_ROOM], 0.0, command.name))
@@ -197,7 +200,7 @@
             if request is None:
                 ending = Ending.TOO_LATE
             else:
-                ending, message = await self.servers.call(self.addresses[call_out.server], request,
+                ending, message = await self.servers.call(call_out.server, self.starts[call_out.server][0], request,
                                                           exchange.message.body)
         if call_out.scope.cancelled_caught and not call_out.withdrawn:
             ending = Ending.SILENT
@@ -205,7 +208,7 @@
 
     async def _probe(self, server: int) -> None:
         started = trio.current_time()
-        ending, message = await self.servers.probe(self.addresses[server], self.with_load)
+        ending, message = await self.servers.probe(server, self.starts[server][0], self.with_load)
         elapsed = int((trio.current_time() - started) * 10_000)
         await tell(self.queue, face.ProbeEnded(server, STATUS[ending], elapsed, self.servers.load(message, probe=True)))
 
@@ -224,11 +227,12 @@
             if place is None and name not in self.door.servers:     # removed before it was known
                 continue
             index = self.door.server(name)
-            if index == len(self.addresses):
-                self.addresses.append(place)
-            elif place and place != self.addresses[index]:
-                self.servers.close_idle(self.addresses[index])
-                self.addresses[index] = place
+            if index == len(self.starts):
+                self.starts.append((place, up_since))
+            # Guards against connections to what ran there before: its machine may have gone without a word.
+            if state == face.State.GONE or self.starts[index] != (place or self.starts[index][0], up_since):
+                self.servers.close_idle(index)
+                self.starts[index] = place or self.starts[index][0], up_since
             true_id = int.from_bytes(name.encode(), "big")
             entries.append(face.ServerEntry(index, true_id, zone, cell, state, up_since, weight))
         return tuple(entries)
--- a/oakfork/sockets/servers.py
+++ b/oakfork/sockets/servers.py
@@ -20,19 +20,20 @@
         self.usable = max(0.0, idle_patience - EARLY)
         self.names = [name.encode() for name in names]
         self.open = 0
-        self.idle: dict[Address, list[tuple[float, Link]]] = {}    # emptied by run
+        self.idle: dict[int, list[tuple[float, Link]]] = {}     # by the server's index; emptied by run
 
-    async def call(self, address: Address, request: h11.Request, body: bytes = b"") -> tuple[Ending, Message | None]:
+    async def call(self, server: int, address: Address, request: h11.Request,
+                   body: bytes = b"") -> tuple[Ending, Message | None]:
         """One exchange with a server. Sends it once and never again; the connection is kept if it stays usable."""
         link = None
         try:
-            link = self._kept(address) or await self._new(address)
+            link = self._kept(server) or await self._new(address)
             await link.write(request, body)
-            message = await link.read()
+            message = await link.read(self.connect_patience)
             if not _framed(message):
                 raise Break(Ending.BROKEN)
             if link.renew():
-                self.idle.setdefault(address, []).append((trio.current_time(), link))
+                self.idle.setdefault(server, []).append((trio.current_time(), link))
                 link = None
             return _ending(message), message
         except Break as end:
@@ -41,15 +42,15 @@
             if link is not None:
                 self._drop(link)
 
-    async def probe(self, address: Address, with_load: bool) -> tuple[Ending, Message | None]:
+    async def probe(self, server: int, address: Address, with_load: bool) -> tuple[Ending, Message | None]:
         """A look at a server; it waits as long as for a connection."""
         request = plain("GET", "/-/load" if with_load else "/-/healthy", address)
         with trio.CancelScope(deadline=trio.current_time() + self.connect_patience):
-            return await self.call(address, request)
+            return await self.call(server, address, request)
         return Ending.SILENT, None
 
-    def _kept(self, address: Address) -> Link | None:
-        kept = self.idle.get(address, [])
+    def _kept(self, server: int) -> Link | None:
+        kept = self.idle.get(server, [])
         while kept:
             since, link = kept.pop()
             if trio.current_time() - since < self.usable and link.lively():
@@ -77,8 +78,8 @@
             self._drop(min(lists, key=lambda kept: kept[0][0]).pop(0)[1])
         return bool(lists)
 
-    def close_idle(self, address: Address) -> None:
-        for _, link in self.idle.pop(address, ()):
+    def close_idle(self, server: int) -> None:
+        for _, link in self.idle.pop(server, ()):
             self._drop(link)
 
     async def run(self) -> None:
@@ -86,11 +87,11 @@
         while True:
             await trio.sleep(EARLY)
             last = trio.current_time() - self.usable
-            for address, kept in list(self.idle.items()):
+            for server, kept in list(self.idle.items()):
                 while kept and kept[0][0] < last:
                     self._drop(kept.pop(0)[1])
                 if not kept:
-                    del self.idle[address]
+                    del self.idle[server]
 
     def load(self, message: Message | None, probe: bool = False) -> tuple[float, ...]:
         """The load report, in the settings' order; empty if there is none. A probe may have it as its body."""
--- a/oakfork/wirehost/host.py
+++ b/oakfork/wirehost/host.py
@@ -83,6 +83,9 @@
                 return codec.read_list()
             case face.CloseIdle(server):
                 return codec.disconnect(self.door.server_ids[server])
+            case face.Forget(server):
+                self.door.forget(server)
+                return b""
             case face.Count(name, amount, kept_for):
                 return codec.enter(name, amount, kept_for / 10)
             case face.Note(text):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,8 +1,11 @@
+import random
+
 import pytest
 from world import METHODS, PLANS, World, arrival, birth, entry
 
 from oakfork import interface as face, peerwire as wire
 from oakfork.brain import Brain
+from oakfork.door import Door
 from oakfork.interface import SECOND, State, Status
 
 
@@ -84,6 +87,51 @@
     assert let_in[0] == let_in[1] == 60 and 0 < let_in[2] < 30 < let_in[3]
 
 
+def test_servers_that_are_gone_are_forgotten_once_no_rpc_speaks_of_them():
+    brain, door, chance, now, most = Brain(birth(0, 1), 0), Door(), random.Random(2), 0, 0
+    live, sent = [f"s{number}" for number in range(5)], {}
+    for step in range(400):     # one is replaced every six seconds; old ones answer late or never
+        now += 6 * SECOND
+        gone, new = live.pop(0), f"s{step + 5}"
+        entries = tuple(entry(door.server(name), state) for name, state in
+                        [(gone, State.GONE), *((name, State.READY) for name in (*live, new))] if name in door.servers
+                        or state == State.READY)
+        live.append(new)
+        commands = brain.handle(now, face.ServerList(step % 7 == 0, False, entries))
+        for rpc in list(sent):
+            if chance.random() < 0.5:
+                commands += brain.handle(now, ended(rpc, 0, sent.pop(rpc), Status.RESET))
+        commands += brain.handle(now, arrival(step, step))
+        for command in commands:
+            if isinstance(command, face.Forget):
+                assert command.server not in sent.values() and command.server not in brain.servers
+                door.forget(command.server)
+            elif isinstance(command, face.Send):
+                assert door.server_ids[command.server] in live
+                sent[command.rpc] = command.server
+        most = max(most, len(brain.servers), len(door.server_ids))
+        assert brain.servers.keys() == set(door.servers.values())
+    assert most < 30
+
+
+@pytest.mark.parametrize("to_life, again, full", [(0, False, True), (None, False, True), (0, True, False),
+                                                  (None, True, False), (7, False, False)])
+def test_under_a_ceiling_only_a_first_life_starts_full(to_life, again, full):
+    """None: the life that it is in. The second of the others to be heard says what the parameters say."""
+    brain, customer = gateway(0, 3), owned_by(0, 3)
+    assert face.PushBack in kinds(brain.handle(0, arrival(0, customer, plan=1, spread=3)))
+    brain.handle(1, face.PeerFrame(1, wire.pack(11, 0, 1, 0, [])))
+    assert face.PushBack in kinds(brain.handle(2, arrival(1, customer, plan=1, spread=3)))
+    brain.handle(3, face.PeerFrame(2, wire.pack(12, brain.life if to_life is None else to_life, 1, 0, [], again)))
+    sent = sum(face.Send in kinds(brain.handle(4, arrival(rpc, customer, plan=1, spread=3))) for rpc in range(2, 60))
+    assert sent == (int(PLANS[1].burst) if full else 0)
+    brain.handle(5, face.PeerFrame(1, wire.pack(13, 0, 1, 0, [])))      # it has restarted, which fills nothing again
+    assert face.PushBack in kinds(brain.handle(6, arrival(60, customer, plan=1, spread=3)))
+    for owner, known in ((1, True), (2, False)):     # who restarts is told that it was known before
+        brain.handle(10 + owner * 100, arrival(70 + owner, owned_by(owner, 3), spread=3))
+        assert frame_of(brain.handle(50 + owner * 100, face.TimeCame(0))).again == known
+
+
 def test_the_bucket_gives_its_capacity_and_then_its_rate():
     brain = gateway()
     sent = [face.Send in kinds(brain.handle(100, arrival(rpc))) for rpc in range(12)]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -278,6 +278,39 @@
         assert len({handler.server for handler in asked}) == 2
 
 
+def test_an_answer_that_stops_half_way_is_not_waited_for(world):
+    def act(handler, body):
+        with lock:
+            asked.append(handler.server)
+        if len(asked) == 1:
+            handler.wfile.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+            time.sleep(0.4)     # no answer has begun yet
+            handler.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+            time.sleep(1.5)
+        else:
+            echo(handler, body)
+
+    asked, lock = [], threading.Lock()
+    with world(act, act) as w:
+        begun = time.monotonic()
+        assert rpc(w.at, X_Remaining_Ms="2000")[:2][0] == 200 and 0.6 < time.monotonic() - begun < 1.2
+        assert len(set(asked)) == 2
+
+
+def test_connections_to_an_earlier_start_of_a_server_are_not_used_again(world):
+    def act(handler, body):
+        connections.append(handler.connection)
+        echo(handler, body)
+
+    connections = []
+    with world(act) as w:
+        assert rpc(w.at)[0] == rpc(w.at)[0] == 200 and len(set(connections)) == 1
+        w.discovery.change([w.list[0] | {"started_ms": 1000}])
+        assert until(lambda: len(w.discovery.seen) >= w.discovery.version)
+        time.sleep(0.1)
+        assert rpc(w.at)[0] == 200 and len(set(connections)) == 2
+
+
 @pytest.mark.parametrize("turn, status", [("away", 200), ("break", 502), ("error", 502)])
 def test_a_non_idempotent_rpc_runs_once_at_most(world, turn, status):
     def act(handler, body):
