Do not reuse connections that idled for as long as others that broke

Seen in a trace of idle ages: of connections used again within a quarter of a second 7.6% broke, as many as of new ones (6.2%); of those idle for longer 43 to 50%. The network drops them without a word, long before the 15 s of the settings, and the server is held to be ill for it. servers.py used whatever had not idled for 14 s.

--- a/oakfork/sockets/servers.py
+++ b/oakfork/sockets/servers.py
@@ -11,6 +11,32 @@
 EARLY = 1.0     # seconds before the other side's idle limit at which a connection is no longer used
 
 
+class Ages:
+    """How connections fared that were used again, by how long they had been idle: each row twice as long as the one
+    before, from a sixteenth of a second. Guards against networks and machines that drop idle connections without a
+    word, and sooner than they say: the request written to one is lost, and its server is held to be ill."""
+
+    def __init__(self) -> None:
+        self.rows = [[0.0, 0.0] for _ in range(10)]     # used, broken; emptied by fade
+
+    def _row(self, age: float) -> list[float]:
+        return self.rows[min(len(self.rows) - 1, int(age * 16).bit_length())]
+
+    def fit(self, age: float) -> bool:
+        used, broken = self._row(age)
+        return broken < 2 or broken < used / 4     # one or two may have broken by chance
+
+    def note(self, age: float, broken: bool) -> None:
+        row = self._row(age)
+        row[0] += 1
+        row[1] += broken
+
+    def fade(self) -> None:
+        """Once a second: after some ten, what did not fare well is tried again."""
+        for row in self.rows:
+            row[:] = row[0] * 0.9, row[1] * 0.9
+
+
 class Servers:
     """Idle connections by server, the last used first, and the number of all connections."""
 
@@ -20,14 +46,16 @@
         self.usable = max(0.0, idle_patience - EARLY)
         self.names = [name.encode() for name in names]
         self.open = 0
+        self.ages = Ages()
         self.idle: dict[int, list[tuple[float, Link]]] = {}     # by the server's index; emptied by run
 
     async def call(self, server: int, address: Address, request: h11.Request,
                    body: bytes = b"") -> tuple[Ending, Message | None]:
         """One exchange with a server. Sends it once and never again; the connection is kept if it stays usable."""
-        link = None
+        link, age, ending = None, None, Ending.GIVEN_UP
         try:
-            link = self._kept(server) or await self._new(address)
+            link, age = self._kept(server)
+            link = link or await self._new(address)
             await link.write(request, body)
             message = await link.read(self.connect_patience)
             if not _framed(message):
@@ -35,10 +63,14 @@
             if link.renew():
                 self.idle.setdefault(server, []).append((trio.current_time(), link))
                 link = None
-            return _ending(message), message
+            ending = _ending(message)
+            return ending, message
         except Break as end:
-            return end.ending, None
+            ending = end.ending
+            return ending, None
         finally:
+            if age is not None and ending is not Ending.GIVEN_UP:
+                self.ages.note(age, ending in (Ending.UNSENT, Ending.BROKEN, Ending.ENDED))
             if link is not None:
                 self._drop(link)
 
@@ -49,14 +81,16 @@
             return await self.call(server, address, request)
         return Ending.SILENT, None
 
-    def _kept(self, server: int) -> Link | None:
+    def _kept(self, server: int) -> tuple[Link | None, float | None]:
+        """A connection, and how long it has been idle."""
         kept = self.idle.get(server, [])
         while kept:
             since, link = kept.pop()
-            if trio.current_time() - since < self.usable and link.lively():
-                return link
+            age = trio.current_time() - since
+            if age < self.usable and self.ages.fit(age) and link.lively():
+                return link, age
             self._drop(link)
-        return None
+        return None, None
 
     async def _new(self, address: Address) -> Link:
         if self.open >= self.most and not self._drop_oldest():
@@ -86,6 +120,7 @@
         """Closes what has stood idle too long to be used again."""
         while True:
             await trio.sleep(EARLY)
+            self.ages.fade()
             last = trio.current_time() - self.usable
             for server, kept in list(self.idle.items()):
                 while kept and kept[0][0] < last:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -29,9 +29,10 @@
 from oakfork.sockets.counter import Counter
 from oakfork.sockets.endings import STATUS, Break, Ending
 from oakfork.sockets.exchange import BadRequest, Exchange
-from oakfork.sockets.heads import LARGEST_BODY, Message, connect
+from oakfork.sockets.heads import LARGEST_BODY, Message, connect, plain
 from oakfork.sockets.keeper import Keeper
 from oakfork.sockets.messages import Came
+from oakfork.sockets.servers import Servers
 
 CUSTOMER = "00000000b4d65521"
 http.client._MAXHEADERS = 2000      # of the stand-ins, which take a hundred otherwise
@@ -856,6 +857,34 @@
         party.server_close()
 
 
+def test_connections_that_break_after_idling_are_not_used_again_for_a_while():
+    def act(handler, body):     # drops without a word what was idle for a quarter of a second
+        now = time.monotonic()
+        if now - before.get(handler.connection, now) > 0.25:
+            handler.close_connection = True
+        else:
+            handler.reply(200)
+        before[handler.connection] = time.monotonic()
+
+    async def main():
+        servers = Servers(20, 0.25, 15.0, ())
+        for pause in [0.3] * 10 + [0.01] * 10:
+            ending, _ = await servers.call(0, server.server_address, plain("GET", "/", server.server_address))
+            ends.append(ending)
+            await trio.sleep(pause)
+        for _ in range(30):
+            servers.ages.fade()
+        assert servers.ages.fit(0.3)
+
+    before, ends = {}, []
+    server = StandIn(act)
+    trio.run(main)
+    server.shutdown()
+    server.server_close()
+    assert 1 <= ends.count(Ending.ENDED) <= 3 and set(ends) == {Ending.ANSWERED, Ending.ENDED}
+    assert len(before) < 12      # those that idled for less were used again
+
+
 def test_a_connection_that_never_comes_up_is_given_up():
     async def main():
         with closing(socket.socket()) as full:     # a listener that takes nothing: its backlog fills
