--- a/oakfork/sockets/counter.py
+++ b/oakfork/sockets/counter.py
@@ -1,4 +1,5 @@
 """Calls to the counter: written one behind another on one connection, answered in their order."""
+import math
 from collections import deque
 
 import trio
@@ -74,6 +75,7 @@
     if message.head.status_code != 200:
         return Ending.TURNED_AWAY, 0.0      # 503, 400 and 404 alike: nothing was added
     try:
-        return Ending.ANSWERED, float(message.body)
+        total = float(message.body)
     except ValueError:
-        return Ending.MALFORMED, 0.0
+        total = math.nan
+    return (Ending.ANSWERED, total) if math.isfinite(total) else (Ending.MALFORMED, 0.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -26,7 +26,7 @@
 from oakfork.brain import Brain
 from oakfork.interface import NEVER_RAN, Status
 from oakfork.sockets import configuration
-from oakfork.sockets.counter import Counter
+from oakfork.sockets.counter import Counter, _result as counter_result
 from oakfork.sockets.endings import STATUS, Break, Ending
 from oakfork.sockets.exchange import BadRequest, Exchange
 from oakfork.sockets.heads import LARGEST_BODY, Link, Message, connect, plain
@@ -909,6 +909,14 @@
     assert len(before) < 12      # those that idled for less were used again
 
 
+@pytest.mark.parametrize("body, ending", [
+    (b"2.5", Ending.ANSWERED), (b"-1e3\n", Ending.ANSWERED), (b"", Ending.MALFORMED), (b"nan", Ending.MALFORMED),
+    (b"inf", Ending.MALFORMED), (b"\xff\x00", Ending.MALFORMED)])
+def test_a_total_that_is_no_number_is_a_spoilt_answer(body, ending):
+    head = h11.Response(status_code=200, headers=[("Content-Length", str(len(body)))])
+    assert counter_result(Message(head, body))[0] == ending
+
+
 def test_a_connection_closed_under_a_write_is_an_ending():
     async def main():
         ours, theirs = socket.socketpair()
