Give the clients of the unread-request test ids of their own

Since the id of an open RPC is refused, 119 of that test's 120 clients, which all sent the same one, were answered 409 at once: it no longer showed what it is for, many requests waiting unread while RPCs are open. Each has its own id now; the assertions are unchanged and hold. No code changes.

Looked at and left: the two slow stand-ins of neighbouring tests are alike in shape only.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -598,8 +598,8 @@
     with world(slow) as w:
         for _ in range(3):
             asking = [socket.create_connection(configuration.address(w.at), timeout=3) for _ in range(120)]
-            for sock in reversed(asking):
-                sock.sendall(request_bytes(**{"X-Remaining-Ms": "2000"}))
+            for number, sock in reversed([*enumerate(asking)]):     # each its own id: others get 409 at once
+                sock.sendall(request_bytes(**{"X-Remaining-Ms": "2000", "X-Txn": str(number)}))
             assert all(sock.recv(65536).startswith(b"HTTP/1.1 ") for sock in asking)
             for sock in asking:
                 sock.close()
