Wait for what came after SIGTERM also where no connection was open for a moment

Ruled out: unread bytes at closing (none), the connection's own scope (not cancelled), SIGKILL (it left by itself).

At fault: Clients.left set `empty` as soon as no connection was open while leaving, though new ones are still taken for 0.6 s; Gateway.run then did not wait at all. With four gateways hundreds of connections never all close at once; with hundreds of gateways each has a handful.

Change: empty is said only once no connection is taken any more. The new test fails without it.

--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -30,11 +30,11 @@
                  nursery: trio.Nursery, log: BoundLogger) -> None:
         self.here, self.most, self.queue, self.nursery, self.log = here, most, queue, nursery, log
         self.many = most * 3 // 4
-        self.leaving = self.full = False
+        self.leaving = self.full = self.shut = False    # shut: no connection is taken any more
         self.open: set[Client] = set()
         self.idle: dict[Client, float] = {}     # of those, with nothing begun: since when, the longest first
         self.ids: set[bytes] = set()            # of the RPCs that are not answered yet
-        self.empty = trio.Event()       # set once it is leaving and all connections are closed
+        self.empty = trio.Event()       # set once it is shut and all connections are closed
         self.accepting = trio.CancelScope()
         self.sock = sock
         self.sock.listen(BACKLOG)
@@ -57,6 +57,7 @@
                     if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
                         await trio.sleep(0.02)      # until others have closed theirs
         self.sock.close()
+        self.shut = True
         self.leave()
 
     def _take_in(self, sock: socket.socket) -> None:
@@ -109,7 +110,9 @@
         self.open.discard(client)
         self.idle.pop(client, None)
         self.full = self.full and len(self.open) >= self.many
-        if self.leaving and not self.open:
+        # Guards against leaving while RPCs are out that came after a moment without any connection: at a gateway
+        # that few clients use, that is the rule.
+        if self.shut and not self.open:
             self.empty.set()
 
     def tell(self, told: Told) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -628,6 +628,19 @@
             rpc(w.at)
 
 
+def test_what_comes_after_sigterm_on_an_empty_gateway_is_answered(world):
+    """No connection was open for a moment; a new one brings an RPC that takes longer than new ones are taken."""
+    def slow(handler, body):
+        time.sleep(1.0)
+        echo(handler, body)
+
+    with world(slow) as w:
+        w.process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        assert rpc(w.at)[0] == 200
+        assert w.process.wait(3) == 0
+
+
 def test_clients_lose_nothing_when_the_gateway_leaves(world):
     """Clients keep their connections, send once more on a new one where closing crossed a request, and are sent
     elsewhere 0.4 s after SIGTERM, as the protocol has it."""
