Take a cold server first when its turn has come; keep deadlines before a second copy

Among sixteen candidates a due cold server was one of a dozen alike, and a connection not yet open made it worse: most turns were missed for ten seconds. At fault: _rank.

Change: a cold server whose pause is over ranks first (half), and carries no price of a new connection.

Also here: `python -m oakfork` alone serves by oakfork/serving.py; sub-commands stand in oakfork/command.py, imported only then.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -422,7 +422,7 @@
                     copy_at = self.now + rpc.row.late * (3 if self.dear else 2) // 2
                 elif not rpc.out:
                     break
-            yield Wait(copy_at if copy_at > self.now else rpc.dl)
+            yield Wait(min(copy_at, rpc.dl) if copy_at > self.now else rpc.dl)
             if not slow and self.now >= copy_at and len(server.open) == 1:
                 # Guards against queues that no gateway fills alone; held where two lone ones of five are late
                 slow, self.let_in = True, max(0.02, self.let_in * 0.8)
@@ -541,8 +541,10 @@
     def _rank(self, server: Server) -> float:
         # Recent failures weigh up to five times: failing fast is not quick. An eighth is chance. Guards against
         # connections that are opened for one RPC each: one not heard for as long as they last would need a new one.
+        # But a cold one whose pause is over is due, or what it can do is lost with each turn that is missed.
         new = 4 * self.birth.connection_price * (self.now - server.heard >= self.birth.idle_time)
-        return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * (1 + new) * (1 + self._random(64) / 512)
+        place = 0.5 if self._pause(server) else 1 + new
+        return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * place * (1 + self._random(64) / 512)
 
     def _pause(self, server: Server) -> int:
         """The time between own call-outs to a cold server: all gateways together must not push it over. By the
--- /dev/null
+++ b/oakfork/command.py
@@ -0,0 +1,233 @@
+"""The command line. `serve` does what `python -m oakfork` does; everything else is imported where it is used.
+
+Exit codes: 0 done; 1 it went wrong while running (a run that failed, a rule broken, an address that can't be had);
+2 the user's mistake (a word on the line, a file that is not usable), told on one line a fault.
+"""
+import dataclasses
+import json
+import os
+import sys
+from importlib.util import find_spec
+from pathlib import Path
+from typing import Any
+
+import click
+
+WRONG, MISTAKE = 1, 2
+
+
+class Group(click.Group):
+    """Errors on one line, without the usage around them."""
+
+    def main(self, *args: Any, **more: Any) -> Any:
+        try:
+            status = super().main(*args, standalone_mode=False, **more)
+        except click.ClickException as error:
+            _fail(error.format_message())
+        except click.Abort:
+            _fail("interrupted", WRONG)
+        except BrokenPipeError:
+            sys.stderr.close()
+            sys.exit(WRONG)
+        sys.exit(status if isinstance(status, int) else 0)
+
+
+def _fail(text: str, status: int = MISTAKE) -> None:
+    for line in text.splitlines() or [""]:
+        click.echo(f"oakfork: {line}", err=True)
+    sys.exit(status)
+
+
+@click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="oakfork", message="%(version)s")
+def main() -> None:
+    """A quota-keeping gateway for a shared API."""
+
+
+@main.command()
+@click.option("--config", type=click.Path(dir_okay=False), help="The configuration; otherwise LB_CONFIG names it.")
+def serve(config: str | None) -> None:
+    """Serve as a gateway, as `python -m oakfork` does."""
+    from oakfork.serving import serve as run
+    if config:
+        os.environ["LB_CONFIG"] = config
+    run()
+
+
+@main.command()
+@click.argument("config", type=click.Path(dir_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
+def check(config: str, as_json: bool) -> int:
+    """Check a configuration and name each fault by its path in the file."""
+    from oakfork.format import faults_in
+    from oakfork.sockets.configuration import ConfigurationError, read
+    faults: list[str] = []
+    try:
+        told = json.loads(Path(config).read_bytes())
+    except (OSError, ValueError, RecursionError) as error:
+        faults.append(f"the file: {error}")
+    else:
+        faults += faults_in(told)
+        if not faults:
+            try:
+                read({"LB_CONFIG": config})
+            except ConfigurationError as error:
+                faults.append(f"the file: {error}")
+    if as_json:
+        click.echo(json.dumps({"usable": not faults, "faults": faults}))
+    else:
+        for fault in faults:
+            click.echo(f"{config}: {fault}", err=True)
+        if not faults:
+            click.echo(f"{config}: usable")
+    return MISTAKE if faults else 0
+
+
+@main.group()
+def lab() -> None:
+    """The laboratory: a model of the gateways' world, experiments with it, load on real gateways."""
+    missing = [name for name in ("hdrh", "numpy", "scipy") if find_spec(name) is None]
+    if missing:
+        _fail(f"the laboratory needs more libraries ({', '.join(missing)}): pip install 'oakfork[lab]'")
+
+
+def _experiment(path: str) -> Any:
+    from oakfork.lab.experiment import ExperimentError, read
+    try:
+        return read(path)
+    except ExperimentError as error:
+        _fail("\n".join(f"{path}: {fault}" for fault in error.faults))
+
+
+def _results(folder: str) -> list[dict[str, Any]]:
+    from oakfork.lab.sweep import load
+    try:
+        return load(Path(folder))
+    except (OSError, ValueError) as error:
+        _fail(f"{folder}: no results: {error}")
+        return []
+
+
+def _row(result: dict[str, Any]) -> str:
+    from oakfork.lab.compare import figures, plain
+    if "failed" in result:
+        return "FAILED: " + result["failed"]
+    broken = ", ".join(f"{rule} {times} times" for rule, times in result["broken"].items())
+    shown = figures(result)
+    words = "  ".join(f"{name} {plain(shown[name])}" for name in ("utility share", "beyond quota per try", "p99 ms"))
+    return words + ("  BROKEN: " + broken if broken else "  rules kept")
+
+
+@lab.command("run")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--policy", help="One of the file's; otherwise its first.")
+@click.option("--seed", type=int, help="One of the file's; otherwise its first.")
+@click.option("--json", "as_json", is_flag=True, help="The whole result as JSON.")
+def lab_run(file: str, policy: str | None, seed: int | None, as_json: bool) -> int:
+    """Play one run of an experiment, at the first point of its sweep."""
+    from oakfork.lab.sweep import play
+    experiment = _experiment(file)
+    policy, seed = policy or experiment.policies[0], experiment.seeds[0] if seed is None else seed
+    run = next((run for run in experiment.runs if run.policy == policy and run.seed == seed), None)
+    if run is None:
+        _fail(f"{file}: no run of policy {policy!r} with seed {seed}")
+    result = play(run)
+    click.echo(json.dumps(result, sort_keys=True) if as_json else f"{policy}, seed {seed}: {_row(result)}")
+    if not as_json:
+        for line in result["lines"]:
+            click.echo("  " + line)
+    return WRONG if result["broken"] else 0
+
+
+@lab.command("sweep")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.argument("folder", type=click.Path(file_okay=False))
+@click.option("--workers", type=click.IntRange(1, 256), default=max(1, (os.cpu_count() or 2) // 2), show_default=True)
+@click.option("--quiet", is_flag=True, help="No line a run.")
+def lab_sweep(file: str, folder: str, workers: int, quiet: bool) -> int:
+    """Play all runs of an experiment over processes; run again, it goes on where it was."""
+    from oakfork.lab.sweep import Sweep
+    experiment = _experiment(file)
+
+    def told(run: Any, result: dict[str, Any]) -> None:
+        if not quiet:
+            click.echo(f"{run.number}  {run.policy}  seed {run.seed}  {dict(run.point) or ''}  {_row(result)}")
+
+    try:
+        failed = Sweep(experiment, Path(folder), workers, player=_player()).run(told)
+    except OSError as error:
+        _fail(f"{folder}: {error}", WRONG)
+    click.echo(f"{len(experiment.runs)} runs, {failed} failed, in {folder}")
+    return WRONG if failed else 0
+
+
+def _player() -> Any:
+    from oakfork.lab.sweep import play
+    return play
+
+
+@lab.command("compare")
+@click.argument("folder", type=click.Path(file_okay=False))
+@click.option("--base", default="two choices", show_default=True, help="The policy compared with.")
+@click.option("--other", default="oakfork", show_default=True, help="The policy compared.")
+@click.option("--with", "second", type=click.Path(file_okay=False),
+              help="Take the other from this sweep of the same seeds.")
+@click.option("--json", "as_json", is_flag=True, help="The differences as JSON.")
+def lab_compare(folder: str, base: str, other: str, second: str | None, as_json: bool) -> int:
+    """Compare two policies by runs of the same seeds, with 95% confidence intervals."""
+    from oakfork.lab.compare import compare, plain
+    found = compare(_results(folder), base, other, _results(second) if second else None)
+    if not found:
+        _fail(f"{folder}: no runs of {base!r} and {other!r} with the same seeds")
+    for row in found:
+        if as_json:
+            click.echo(json.dumps(row._asdict() | {"point": dict(row.point), "told apart": row.told_apart}))
+            continue
+        point = ", ".join(f"{path}={value}" for path, value in row.point)
+        verdict = f"{plain(row.low)} to {plain(row.high)}" if row.told_apart else "can't be told from noise"
+        click.echo(f"{point + ': ' if point else ''}{row.figure}: {plain(row.base)} -> {plain(row.other)}  "
+                   f"difference {plain(row.mean)} ({verdict}; {row.pairs} pairs)")
+    return 0
+
+
+@lab.command("plot")
+@click.argument("folder", type=click.Path(file_okay=False))
+@click.option("--to", "to", type=click.Path(file_okay=False), help="Where the plots go; otherwise FOLDER/plots.")
+def lab_plot(folder: str, to: str | None) -> int:
+    """Plot a finished sweep into PNG files."""
+    results = _results(folder)
+    try:
+        from oakfork.lab.plots import over_sweep, over_time
+    except ImportError as error:
+        _fail(f"plots need more libraries ({error.name}): pip install 'oakfork[lab]'")
+    target = Path(to) if to else Path(folder) / "plots"
+    for path in over_sweep(results, target) + over_time(results, target):
+        click.echo(str(path))
+    return 0
+
+
+@lab.command("load")
+@click.argument("gateways", nargs=-1, required=True)
+@click.option("--rate", type=click.FloatRange(0.1, 20_000), default=50.0, show_default=True, help="RPCs a second.")
+@click.option("--seconds", type=click.FloatRange(0.1, 600), default=10.0, show_default=True)
+@click.option("--connections", type=click.IntRange(1, 1000), default=64, show_default=True, help="At most, in all.")
+@click.option("--customers", type=click.IntRange(1, 1_000_000), default=200, show_default=True)
+@click.option("--method", "method", default="GET", show_default=True)
+@click.option("--lane", default="read", show_default=True, help="The method's name, as X-Lane.")
+@click.option("--tier", default="basic", show_default=True, help="The plan's name, as X-Tier.")
+@click.option("--deadline-ms", type=click.IntRange(1, 600_000), default=3000, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
+def lab_load(gateways: tuple[str, ...], as_json: bool, **told: Any) -> int:
+    """Send an open-loop load to real gateways on loopback addresses, HOST:PORT each."""
+    from oakfork.lab.load import Load, LoadError, run
+    try:
+        report = run(Load(gateways=gateways, **told))
+    except LoadError as error:
+        _fail(str(error))
+    click.echo(json.dumps(dataclasses.asdict(report)) if as_json else report.text())
+    return WRONG if report.answers.get("none") else 0
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -485,3 +485,22 @@
         brain.servers[0].open = {(9, 9): 0}     # no more than a preference
         assert brain._rank(brain.servers[0]) > brain._rank(brain.servers[9])
     assert chosen[0.08] == 60 and chosen[0.0] < 50
+
+
+def test_a_cold_server_whose_turn_has_come_is_taken_first():
+    """Guards against a release of half of the fleet: with hundreds of gateways each turn that is missed is long in
+    coming back, and the warm servers carry what the cold ones could."""
+    brain = gateway(servers=12, connection_price=0.08, idle_time=15 * SECOND)
+    for server in brain.servers.values():
+        server.heard = 30 * SECOND
+    brain.handle(31 * SECOND, face.ServerList(False, False, (entry(12, State.READY, 29 * SECOND),)))
+    brain.servers[12].sent_at = 0       # its pause is over
+    assert brain.handle(31 * SECOND + 1, arrival(1, 1)).pop(0) == face.Send(0 + 1, 12, 0)
+    assert not brain._room(brain.servers[12])
+
+
+def test_a_deadline_before_the_second_copy_is_kept():
+    """Guards against clients that leave little time: the wait for a second copy went beyond their deadline."""
+    brain = gateway(servers=4)
+    assert face.Send in kinds(brain.handle(0, arrival(1, 1, left=600)))
+    assert face.PushBack in kinds(brain.handle(600, face.TimeCame(0)))
