--- a/oakfork/command.py
+++ b/oakfork/command.py
@@ -13,6 +13,8 @@
 
 import click
 
+from oakfork import __version__
+
 WRONG, MISTAKE = 1, 2
 
 
@@ -39,7 +41,7 @@
 
 
 @click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
-@click.version_option(package_name="oakfork", message="%(version)s")
+@click.version_option(__version__, message="%(version)s")
 def main() -> None:
     """A quota-keeping gateway for a shared API."""
 
--- a/oakfork/format.py
+++ b/oakfork/format.py
@@ -3,7 +3,8 @@
 Imported by `oakfork check` and, to name what is wrong, once a configuration could not be read; never on the way to
 serving. Unknown keys are allowed: the platform adds some.
 """
-from typing import Any
+import math
+from typing import Any, Iterable
 
 ADDRESS = {"type": "string", "pattern": r"^[^\s:]+:\d{1,5}$"}
 
@@ -96,14 +97,27 @@
 }, "listen", "discovery", "settings")
 
 
+def place(path: Iterable[str | int]) -> str:
+    return "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in path).lstrip(".") or "the file"
+
+
+def against(schema: dict[str, Any], told: Any) -> list[str]:
+    """All that a schema finds wrong, each by its path; and numbers that are none, which compare with nothing."""
+    from jsonschema import Draft202012Validator
+    errors = sorted(Draft202012Validator(schema).iter_errors(told), key=lambda error: list(map(str, error.path)))
+    return [f"{place(error.absolute_path)}: {error.message[:200]}" for error in errors] + _no_numbers(told, ())
+
+
+def _no_numbers(told: Any, path: tuple[str | int, ...]) -> list[str]:
+    if isinstance(told, dict | list):
+        items = told.items() if isinstance(told, dict) else enumerate(told)
+        return [fault for key, part in items for fault in _no_numbers(part, (*path, key))]
+    return [f"{place(path)}: {told} is not a number"] if isinstance(told, float) and not math.isfinite(told) else []
+
+
 def faults_in(told: Any) -> list[str]:
     """All that is wrong, each by its path in the file."""
-    from jsonschema import Draft202012Validator
-    found = []
-    for error in sorted(Draft202012Validator(SCHEMA).iter_errors(told), key=lambda error: list(map(str, error.path))):
-        parts = (f"[{part}]" if isinstance(part, int) else f".{part}" for part in error.absolute_path)
-        place = "".join(parts).lstrip(".")
-        found.append(f"{place or 'the file'}: {error.message[:200]}")
+    found = against(SCHEMA, told)
     if not found:
         found += _contradictions(told)
     return found
--- /dev/null
+++ b/oakfork/lab/tier.py
@@ -0,0 +1,240 @@
+"""A gateway of the model: hosts a policy as the real gateway hosts the module, and carries out its commands."""
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol, Sequence
+
+from oakfork import interface as face
+from oakfork.door import Door
+from oakfork.interface import SECOND, State, Status
+from oakfork.lab.checker import Watched
+from oakfork.lab.clock import Kind
+from oakfork.lab.fleet import Job, Server
+
+if TYPE_CHECKING:
+    from oakfork.lab.world import World
+
+EVERYONE = 0xFFFF
+
+
+class Policy(Protocol):
+    """What decides: the decision module, or a baseline in its place."""
+    def handle(self, now: int, event: face.Event) -> Sequence[face.Command]: ...
+
+
+@dataclass(slots=True)
+class CallOut:
+    number: int
+    server: Server
+    sent_at: int
+    job: Job | None = None
+    over: bool = False
+    reached: bool = False
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One RPC at its gateway."""
+    rpc: int
+    watched: Watched
+    units: float
+    answered: "object"          # called with the answer's word and the advice
+    index: int = -1
+    over: bool = False
+    call_outs: dict[int, CallOut] = field(default_factory=dict)
+    sent: int = 0
+
+
+class Gateway:
+    """All that dies with a process stands in `life`: what was planned for an earlier life is void."""
+
+    def __init__(self, world: "World", number: int, zone: int) -> None:
+        self.world, self.number, self.zone = world, number, zone
+        self.life, self.up, self.deaf = 0, False, False
+        self.policy: Policy | None = None
+        self.door: Door[int, int] = Door()
+        self.exchanges: dict[int, Exchange] = {}    # by the door's index; emptied as RPCs end
+        self.idle: dict[int, list[int]] = {}     # server -> idle connections, since when; emptied by use
+        self.list: dict[int, Server] = {}           # by the true number: what it was told last
+        self.mail = 0.0                             # frames of this second
+        self.mail_second = -1
+
+    def start(self) -> None:
+        world = self.world
+        self.life, self.up = self.life + 1, True
+        self.door, self.exchanges, self.idle, self.list = Door(), {}, {}, {}
+        self.policy = world.decide(world.birth(self.number, self.zone), world.loop.now)
+        known = [server for server in world.servers.values() if server.up]
+        self.told(known, True)
+
+    def kill(self) -> None:
+        self.life, self.up, self.policy = self.life + 1, False, None
+        self.world.checker.gateway_killed(self.number)
+        for exchange in self.exchanges.values():
+            for call_out in exchange.call_outs.values():
+                self._withdraw(call_out)
+
+    # What the module is told
+
+    def told(self, servers: Sequence[Server], complete: bool = False, life: int | None = None) -> None:
+        if not self.up or life not in (None, self.life):
+            return
+        entries, checker, now = [], self.world.checker, self.world.loop.now
+        for server in servers:
+            state = State.GONE if not server.up else State.DRAINING if server.draining else State.READY
+            if state == State.GONE and server.number not in self.door.servers:
+                continue
+            known = self.list.get(server.number)
+            if known is not None and known is not server:
+                self.idle.pop(server.number, None)      # another process there
+            self.list[server.number] = server
+            if state == State.READY:
+                checker.ready_told(self.number, server.number)
+            else:
+                checker.drain_told(self.number, server.number, now)
+            entries.append(face.ServerEntry(self.door.server(server.number), server.number + 1, server.zone,
+                                            server.cell, state, server.since, 1.0))
+        self.handle(face.ServerList(complete, False, tuple(entries)))
+
+    def arrive(self, exchange: Exchange, arrival: face.Arrival) -> None:
+        exchange.index = self.door.admit(exchange.rpc)
+        self.exchanges[exchange.index] = exchange
+        self.handle(arrival._replace(rpc=exchange.index), exchange.index)
+
+    def client_gone(self, exchange: Exchange, life: int) -> None:
+        if self.up and life == self.life and not exchange.over:
+            self._over(exchange)
+            self.handle(face.ClientGone(exchange.index), exchange.index)
+
+    def frame(self, sender: int, data: bytes, life: int) -> None:
+        """A frame arrives; beyond what a gateway takes in a second it is lost unseen."""
+        now = self.world.loop.now
+        if not self.up or self.deaf or life != self.life:
+            return
+        if self.mail_second != now // SECOND:
+            self.mail_second, self.mail = now // SECOND, 0.0
+        self.mail += 1
+        if self.mail > self.world.plan.links.mail_per_s:
+            self.world.tally.add("frames not taken", now)
+            return
+        self.handle(face.PeerFrame(sender, data))
+
+    def timer(self, token: int, life: int) -> None:
+        if self.up and life == self.life:
+            self.handle(face.TimeCame(token))
+
+    def handle(self, event: face.Event, index: int | None = None) -> None:
+        touched = {index} if index is not None else set()
+        own = [event]
+        while own:
+            event = own.pop(0)
+            for command in self.policy.handle(self.world.loop.now, event):
+                self._carry_out(command, own, touched)
+        for index in sorted(touched):
+            self.door.settle(index)
+            if self.door.tickets[index] is None:
+                self.exchanges.pop(index, None)
+
+    def _over(self, exchange: Exchange) -> None:
+        exchange.over = True
+        self.door.tickets[exchange.index].over = True
+
+    def _carry_out(self, command: face.Command, own: list[face.Event], touched: set[int]) -> None:
+        world, loop = self.world, self.world.loop
+        match command:
+            case face.Send(index, server, _):
+                self._send(self.exchanges[index], server, own)
+            case face.PushBack(index, advice):
+                self._finish(self.exchanges[index], "pushed back", advice)
+                touched.add(index)
+            case face.Abort(index):
+                self._finish(self.exchanges[index], "aborted", 0)
+                touched.add(index)
+            case face.Cancel(index, number):
+                exchange = self.exchanges.get(index)
+                call_out = exchange.call_outs.get(number) if exchange else None
+                if call_out and not call_out.over:
+                    self._withdraw(call_out)
+                    loop.after(1, Kind.ENDING, self._ended, exchange, call_out, Status.CANCELLED, self.life)
+            case face.Wake(token, after):
+                loop.after(after, Kind.TIMER, self.timer, token, self.life)
+            case face.Tell(peer, data):
+                world.frame(self, peer, data)
+            case face.Probe(server):
+                world.probe(self, server)
+            case face.Count():
+                world.counter.call(self, command)
+            case face.CloseIdle(server) | face.Forget(server):
+                true_number = self.door.server_ids[server]
+                self.idle.pop(true_number, None)
+                if isinstance(command, face.Forget):
+                    self.door.forget(server)
+                    self.list.pop(true_number, None)
+
+    def _finish(self, exchange: Exchange, answer: str, advice: int) -> None:
+        if not exchange.over:
+            self._over(exchange)
+            exchange.answered(answer, advice)
+
+    # Call-outs
+
+    def _send(self, exchange: Exchange, index: int, own: list[face.Event]) -> None:
+        world, now = self.world, self.world.loop.now
+        server = self.list[self.door.server_ids[index]]
+        number, exchange.sent = exchange.sent, exchange.sent + 1
+        if exchange.over or now >= exchange.watched.dl:
+            own.append(face.CallOutEnded(exchange.index, number, index, 0, Status.MOOT, exchange.over, 0.0, ()))
+            return
+        self.door.tickets[exchange.index].out += 1
+        call_out = exchange.call_outs[number] = CallOut(number, server, now)
+        world.checker.sent(exchange.rpc, self.number, server.number, now)
+        world.tally.add("call-outs", now)
+        if number == 0:
+            world.tally.asks.record_value(max(1, now - exchange.watched.taken))
+        fresh = self._connection(server)
+        wait = world.distance(self.zone, server.zone) + (world.plan.links.handshake if fresh else 0)
+        world.loop.after(wait, Kind.SERVER, world.reach, self, exchange, call_out, fresh, self.life)
+        left = exchange.watched.dl - now + 10
+        world.loop.after(left, Kind.ENDING, self._timed_out, exchange, call_out, self.life)
+
+    def _connection(self, server: Server) -> bool:
+        """True for a new one."""
+        kept, now = self.idle.get(server.number, []), self.world.loop.now
+        while kept:
+            if now - kept.pop() < self.world.plan.links.idle:
+                return False
+            server.connections -= 1
+        self.world.tally.add("connections", now)
+        return True
+
+    def _timed_out(self, exchange: Exchange, call_out: CallOut, life: int) -> None:
+        if life == self.life and not call_out.over:
+            self._withdraw(call_out)
+            self._ended(exchange, call_out, Status.TIMED_OUT, life)
+
+    def _withdraw(self, call_out: CallOut) -> None:
+        if call_out.job is not None:
+            call_out.server.drop(call_out.job)
+
+    def ended(self, exchange: Exchange, call_out: CallOut, status: Status, life: int) -> None:
+        self._ended(exchange, call_out, status, life)
+
+    def _ended(self, exchange: Exchange, call_out: CallOut, status: Status, life: int) -> None:
+        """How a call-out ended, told once; whole answers give their connection back."""
+        if life != self.life or call_out.over:
+            return
+        call_out.over = True
+        del exchange.call_outs[call_out.number]
+        now, server = self.world.loop.now, call_out.server
+        if status in (Status.OK, Status.FULL, Status.ERROR) and server.up and server is self.list.get(server.number):
+            self.idle.setdefault(server.number, []).append(now)
+        elif call_out.reached:
+            server.connections -= 1
+        self.world.checker.ended(exchange.rpc)
+        self.door.tickets[exchange.index].out -= 1
+        if status == Status.OK and not exchange.over:
+            self._finish(exchange, "ok", 0)
+        index = self.door.servers.get(server.number)
+        if index is None:
+            self.door.settle(exchange.index)
+            return
+        self.handle(face.CallOutEnded(exchange.index, call_out.number, index, now - call_out.sent_at, status,
+                                      exchange.over, 0.0, ()), exchange.index)
