Give no second burst when the last other gateway is heard: only what began empty is filled

At fault: Brain._frame filled all buckets and slices once every other gateway had been heard, to make good that plans under a ceiling begin empty; plans without a ceiling had begun full, and got their burst twice. In a tier of four that is in the first moments, in one of thirty seconds later, in one of hundreds never.

Change: a bucket remembers what it began without (nothing, where no ceiling is) and is given that, once. The test fails without it.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -35,6 +35,7 @@
     tokens: float
     updated: int
     leases: dict[tuple, int] = field(default_factory=dict)  # who has a call-out open -> when it is lost
+    lacks: float = 0.0      # what it would hold besides, had it begun full
 
 
 @dataclass(slots=True)
@@ -218,8 +219,9 @@
         ignores restarts: until all others say that they never knew us before, as filled since our start."""
         bucket = table.get(ask.customer)
         if bucket is None:
-            since = self.born if self.strangers and self.birth.plans[ask.plan].ceiling_rate else -1 << 60
-            bucket = table[ask.customer] = Bucket(0.0 if shares.rate else shares.capacity, since)
+            empty = self.strangers and self.birth.plans[ask.plan].ceiling_rate
+            since, lacks = (self.born, shares.capacity) if empty else (-1 << 60, 0.0)
+            bucket = table[ask.customer] = Bucket(0.0 if shares.rate else shares.capacity, since, lacks=lacks)
             self._at(self.now, self._check, table, ask, shares)
         bucket.tokens = min(shares.capacity, bucket.tokens + (self.now - bucket.updated) * shares.rate)
         bucket.updated = self.now
@@ -354,7 +356,8 @@
                 earlier = frame.again or frame.to_life not in (0, self.life)
                 self.strangers = {-1} if earlier else self.strangers - {event.sender}
                 for bucket in () if self.strangers else (*self.buckets.values(), *self.slices.values()):
-                    bucket.tokens = float("inf")    # our first life: what reads as empty was full
+                    # Our first life: what read as empty was full. Guards against a second burst for all others.
+                    bucket.tokens, bucket.lacks = bucket.tokens + bucket.lacks, 0.0
         if not peer.window.fresh(frame.number):
             return
         # Exception: asks of a stale backlog are skipped: 300 ms above the least delay seen from that peer.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -504,3 +504,17 @@
     brain = gateway(servers=4)
     assert face.Send in kinds(brain.handle(0, arrival(1, 1, left=600)))
     assert face.PushBack in kinds(brain.handle(600, face.TimeCame(0)))
+
+
+def test_hearing_the_last_of_the_others_gives_no_second_burst():
+    """Guards against granting each customer its burst twice: only what began empty, under a ceiling, is filled."""
+    brain = gateway(0, 3)
+    mine = [c for c in range(99) if brain._owner(arrival(1, c, spread=3))[0] == 0]
+    asks = [arrival(rpc, mine[rpc % 2], plan=rpc % 2, spread=3) for rpc in range(40)]   # under a ceiling, and not
+    sent = [sum(face.Send in kinds(brain.handle(0, ask)) for ask in asks[plan::2]) for plan in (0, 1)]
+    assert sent == [int(PLANS[0].burst), 0]
+    for peer in (1, 2):
+        brain.handle(peer, face.PeerFrame(peer, wire.pack(10 + peer, 0, 1, 0, [])))
+    again = [ask._replace(rpc=100 + ask.rpc) for ask in asks]
+    sent = [sum(face.Send in kinds(brain.handle(3, ask)) for ask in again[plan::2]) for plan in (0, 1)]
+    assert sent == [0, int(PLANS[1].burst)]
