Check the configuration by its schema before oakfork serve serves; median in plots over time

Need: the format is to be validated by a library on load.

Result: a configuration with 3 sockets is refused with 'limits.sockets', one that is usable serves and leaves on SIGTERM (test).

--- a/oakfork/command.py
+++ b/oakfork/command.py
@@ -49,32 +49,39 @@
 @main.command()
 @click.option("--config", type=click.Path(dir_okay=False), help="The configuration; otherwise LB_CONFIG names it.")
 def serve(config: str | None) -> None:
-    """Serve as a gateway, as `python -m oakfork` does."""
+    """Serve as a gateway, as `python -m oakfork` does, once the configuration has been found usable by its schema."""
     from oakfork.serving import serve as run
     if config:
         os.environ["LB_CONFIG"] = config
+    path = os.environ.get("LB_CONFIG") or _fail("LB_CONFIG names no file, nor does --config")
+    if faults := _faults(path):
+        _fail("\n".join(f"{path}: {fault}" for fault in faults))
     run()
 
 
+def _faults(path: str) -> list[str]:
+    """All that the schema or the gateway's own reading finds wrong in a configuration."""
+    from oakfork.format import faults_in
+    from oakfork.sockets.configuration import ConfigurationError, read
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError, RecursionError) as error:
+        return [f"the file: {error}"]
+    if faults := faults_in(told):
+        return faults
+    try:
+        read({"LB_CONFIG": path})
+    except ConfigurationError as error:
+        return [f"the file: {error}"]
+    return []
+
+
 @main.command()
 @click.argument("config", type=click.Path(dir_okay=False))
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 def check(config: str, as_json: bool) -> int:
     """Check a configuration and name each fault by its path in the file."""
-    from oakfork.format import faults_in
-    from oakfork.sockets.configuration import ConfigurationError, read
-    faults: list[str] = []
-    try:
-        told = json.loads(Path(config).read_bytes())
-    except (OSError, ValueError, RecursionError) as error:
-        faults.append(f"the file: {error}")
-    else:
-        faults += faults_in(told)
-        if not faults:
-            try:
-                read({"LB_CONFIG": config})
-            except ConfigurationError as error:
-                faults.append(f"the file: {error}")
+    faults = _faults(config)
     if as_json:
         click.echo(json.dumps({"usable": not faults, "faults": faults}))
     else:
--- a/oakfork/lab/plots.py
+++ b/oakfork/lab/plots.py
@@ -51,10 +51,12 @@
     for row in rows:
         by_second = row["result"]["by_second"]
         upper.plot(by_second.get("utility", []), label=row["run"]["policy"])
-        lower.plot(row["result"]["latency_by_second_ms"]["p99"], label=row["run"]["policy"])
+        quantiles = row["result"]["latency_by_second_ms"]
+        (line,) = lower.plot(quantiles["p99"], label=row["run"]["policy"])
+        lower.plot(quantiles["p50"], linestyle="--", color=line.get_color())
     upper.plot(rows[0]["result"]["by_second"].get("utility asked", []), "k:", label="asked inside quotas")
     upper.set(ylabel="utility a second")
-    lower.set(xlabel="seconds", ylabel="p99 latency, ms")
+    lower.set(xlabel="seconds", ylabel="latency, ms: p99, p50 dashed")
     upper.legend(fontsize=8)
     made.append(_save(canvas, folder / "over-time.png"))
     canvas, axes = pyplot.subplots(figsize=(7, 4.5))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,6 +4,7 @@
 import math
 import os
 import random
+import subprocess
 import sys
 import tomllib
 from dataclasses import replace
@@ -365,6 +366,23 @@
         "settings.classes[0].aim-ms", "peers"}
 
 
+def test_serve_refuses_what_the_schema_refuses_and_serves_the_rest(tmp_path):
+    document = json.loads((ROOT / "deploy/example.json").read_text()) | {"listen": "127.0.0.1:0"}
+    path = tmp_path / "n0.json"
+    path.write_text(json.dumps(document | {"limits": {"sockets": 3}}))
+    done = CliRunner().invoke(main, ["serve", "--config", str(path)])
+    assert done.exit_code == 2 and "limits.sockets: 3 is less than" in done.output
+    path.write_text(json.dumps(document))
+    process = subprocess.Popen([sys.executable, "-m", "oakfork", "serve", "--config", str(path)],
+                               stderr=subprocess.PIPE, text=True)
+    try:
+        assert json.loads(process.stderr.readline())["event"] == "serving"
+        process.terminate()
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+
+
 def test_docs_have_the_formats_as_the_checks_know_them():
     for page, rows in (("configuration.md", configuration_format.table()),
                        ("lab.md", configuration_format.table(files.SCHEMA))):
