--- a/oakfork/lab/tier.py
+++ b/oakfork/lab/tier.py
@@ -153,7 +153,7 @@
                 call_out = exchange.call_outs.get(number) if exchange else None
                 if call_out and not call_out.over:
                     self._withdraw(call_out)
-                    loop.after(1, Kind.ENDING, self._ended, exchange, call_out, Status.CANCELLED, self.life)
+                    loop.after(1, Kind.ENDING, self.ended, exchange, call_out, Status.CANCELLED, self.life)
             case face.Wake(token, after):
                 loop.after(after, Kind.TIMER, self.timer, token, self.life)
             case face.Tell(peer, data):
@@ -208,16 +208,13 @@
     def _timed_out(self, exchange: Exchange, call_out: CallOut, life: int) -> None:
         if life == self.life and not call_out.over:
             self._withdraw(call_out)
-            self._ended(exchange, call_out, Status.TIMED_OUT, life)
+            self.ended(exchange, call_out, Status.TIMED_OUT, life)
 
     def _withdraw(self, call_out: CallOut) -> None:
         if call_out.job is not None:
             call_out.server.drop(call_out.job)
 
     def ended(self, exchange: Exchange, call_out: CallOut, status: Status, life: int) -> None:
-        self._ended(exchange, call_out, status, life)
-
-    def _ended(self, exchange: Exchange, call_out: CallOut, status: Status, life: int) -> None:
         """How a call-out ended, told once; whole answers give their connection back."""
         if life != self.life or call_out.over:
             return
