Drop what the laboratory wrote again or never used, after reading the whole change once more

Found on reading: experiment.py had its own tenths() beside birth.py's; command.py a function that only passed play on; a tally's counts, a job's `running`, a server's `fallen` and a parameter were never read; world.py called a private method of the gateway; format.py said that serving never imports it, which `oakfork serve` does; the checker's work at cold servers is emptied when a server stops, not when it is warm, as its comment said.

Change: those, and nothing else; behaviour is as before.

--- a/oakfork/command.py
+++ b/oakfork/command.py
@@ -163,18 +163,13 @@
             click.echo(f"{run.number}  {run.policy}  seed {run.seed}  {dict(run.point) or ''}  {_row(result)}")
 
     try:
-        failed = Sweep(experiment, Path(folder), workers, player=_player()).run(told)
+        failed = Sweep(experiment, Path(folder), workers).run(told)
     except OSError as error:
         _fail(f"{folder}: {error}", WRONG)
     click.echo(f"{len(experiment.runs)} runs, {failed} failed, in {folder}")
     return WRONG if failed else 0
 
 
-def _player() -> Any:
-    from oakfork.lab.sweep import play
-    return play
-
-
 @lab.command("compare")
 @click.argument("folder", type=click.Path(file_okay=False))
 @click.option("--base", default="two choices", show_default=True, help="The policy compared with.")
--- a/oakfork/format.py
+++ b/oakfork/format.py
@@ -1,7 +1,8 @@
 """The operators' configuration format as a JSON Schema: the one source for the check and for docs/configuration.md.
 
-Imported by `oakfork check` and, to name what is wrong, once a configuration could not be read; never on the way to
-serving. Unknown keys are allowed: the platform adds some.
+Imported by `oakfork check`, by `oakfork serve` before it serves, and, to name what is wrong, once a configuration
+could not be read; never by `python -m oakfork` alone on the way to serving. Unknown keys are allowed: the platform
+adds some.
 """
 import math
 from typing import Any, Iterable
--- a/oakfork/lab/checker.py
+++ b/oakfork/lab/checker.py
@@ -39,7 +39,7 @@
         self.rpcs: dict[int, Watched] = {}
         self.ceilings: dict[int, tuple[float, int]] = {}    # customer -> tokens, when; as many as customers
         self.told: dict[tuple[int, int], int] = {}          # (gateway, server) -> since when it is told not to send
-        self.cold: dict[int, deque[tuple[int, float]]] = {}     # server -> work sent; emptied as it gets warm
+        self.cold: dict[int, deque[tuple[int, float]]] = {}     # server -> work sent; emptied when it stops
         self.broken: dict[str, int] = {}
         self.lines: list[str] = []
         self.taken = self.answered = self.silent = self.killed = 0
@@ -175,5 +175,5 @@
         self.breaks("cold servers", now, f"server {server} was sent over {plan.fall_multiple:g} times what it can do")
         return True
 
-    def warm(self, server: int) -> None:
+    def stopped(self, server: int) -> None:
         self.cold.pop(server, None)
--- a/oakfork/lab/crowd.py
+++ b/oakfork/lab/crowd.py
@@ -146,7 +146,7 @@
         rpc, customer = self.next_rpc, wish.customer
         watched = Watched(wish.method, customer.number, customer.plan, gateway.number, now, until)
         exchange = Exchange(rpc, watched, wish.units,
-                            lambda answer, advice: self._answered(wish, exchange, gateway, answer, advice))
+                            lambda answer, advice: self._answered(wish, exchange, answer, advice))
         world.checker.took(rpc, watched)
         arrival = face.Arrival(0, customer.number, wish.method_index, customer.plan_index, wish.units, customer.first,
                                customer.spread, until - now, wish.tries > 1)
@@ -167,7 +167,7 @@
                 self.world.tally.add("price of beyond", now, value * customer.plan.beyond_cost)
         exchange.watched.beyond = not inside
 
-    def _answered(self, wish: Wish, exchange: Exchange, gateway: Gateway, answer: str, advice: int) -> None:
+    def _answered(self, wish: Wish, exchange: Exchange, answer: str, advice: int) -> None:
         world, now = self.world, self.world.loop.now
         beyond = exchange.watched.beyond
         world.checker.answer(exchange.rpc, now, answer)
--- a/oakfork/lab/experiment.py
+++ b/oakfork/lab/experiment.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any, Iterator
 
+from oakfork.birth import tenths
 from oakfork.format import against
 from oakfork.interface import SECOND, Repeat
 from oakfork.lab import plan
@@ -222,10 +223,6 @@
     return True
 
 
-def tenths(milliseconds: float) -> int:
-    return round(milliseconds * 10)
-
-
 def _world(told: dict[str, Any], faults: list[dict[str, Any]]) -> plan.WorldPlan:
     repeats = {"idempotent": Repeat.IDEMPOTENT, "deduplicated": Repeat.DEDUPLICATED,
                "non-idempotent": Repeat.NON_IDEMPOTENT}
--- a/oakfork/lab/fleet.py
+++ b/oakfork/lab/fleet.py
@@ -10,11 +10,10 @@
 
 @dataclass(slots=True)
 class Job:
-    """One call-out at a server. `done` is told how it ended and whether it ran."""
+    """One call-out at a server. `began` is told when it runs, `done` how it ended."""
     work: float
     began: Callable[[], None]
     done: Callable[[Status], None]
-    running: bool = False
     dropped: bool = False
 
 
@@ -33,7 +32,6 @@
     slow: float = 1.0
     fails: float = 0.0
     draining: bool = False
-    fallen: bool = False
     free: int = 0
     connections: int = 0
     busy: float = 0.0       # core time spent
@@ -63,7 +61,6 @@
 
     def _begin(self, job: Job) -> None:
         self.free -= 1
-        job.running = True
         job.began()
         took = max(1, round(job.work * self.slow / self.warmth(self.loop.now)))
         self.busy += took
--- a/oakfork/lab/tally.py
+++ b/oakfork/lab/tally.py
@@ -12,7 +12,6 @@
 class Tally:
     def __init__(self, seconds: int, start: int) -> None:
         self.seconds, self.start = seconds, start
-        self.counts: Counter[str] = Counter()
         self.sums: Counter[str] = Counter()
         self.latency = HdrHistogram(1, LONGEST, 3)
         self.by_second: dict[str, list[float]] = {}     # as many as seconds
--- a/oakfork/lab/tier.py
+++ b/oakfork/lab/tier.py
@@ -189,13 +189,13 @@
         world.tally.add("call-outs", now)
         if number == 0:
             world.tally.asks.record_value(max(1, now - exchange.watched.taken))
-        fresh = self._connection(server)
+        fresh = self.connection(server)
         wait = world.distance(self.zone, server.zone) + (world.plan.links.handshake if fresh else 0)
         world.loop.after(wait, Kind.SERVER, world.reach, self, exchange, call_out, fresh, self.life)
         left = exchange.watched.dl - now + 10
         world.loop.after(left, Kind.ENDING, self._timed_out, exchange, call_out, self.life)
 
-    def _connection(self, server: Server) -> bool:
+    def connection(self, server: Server) -> bool:
         """True for a new one."""
         kept, now = self.idle.get(server.number, []), self.world.loop.now
         while kept:
--- a/oakfork/lab/world.py
+++ b/oakfork/lab/world.py
@@ -188,7 +188,6 @@
             could = server.plan.cores * server.warmth(loop.now)
             if self.checker.work_at_cold(server.number, loop.now, work, could):
                 self._stop(server)
-                server.fallen = True
                 ends(Status.RESET, back)
                 return
         group = {"all": 0, "zone": server.zone, "cell": server.cell}[method.group]
@@ -210,7 +209,7 @@
         self.tally.add("probes", now)
         server = gateway.list[gateway.door.server_ids[index]]
         number, life = server.number, gateway.life
-        fresh = gateway._connection(server)
+        fresh = gateway.connection(server)
         there = self.distance(gateway.zone, server.zone) + (self.plan.links.handshake if fresh else 0)
         silent = server.cut or server.silent or not self.reachable(gateway.zone, server.zone)
         held = 0 if silent else server.held() - server.plan.cores
@@ -286,7 +285,7 @@
 
     def _stop(self, server: Server) -> None:
         server.up = False
-        self.checker.warm(server.number)
+        self.checker.stopped(server.number)
         for gateway in self.gateways:
             for exchange in list(gateway.exchanges.values()):
                 for call_out in list(exchange.call_outs.values()):
