Ask an overbooked discovery again after a pause that grows, and not in step at the start

At fault: Brain._list (Subscribe at once on a failure and at the start), Discovery.run (0.1 s, for good).

Change: the module asks first within two seconds, drawn by chance, then after a third of the settings' time to ask, doubled up to all of it; the network code tells it of a refusal at once. Other breaks of a watch pause 0.1 s doubling to 3.2 s.

Tests fail without it.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -134,19 +134,20 @@
         self.peers = {i: Peer(now, rate=self.swift) for i in range(birth.gateways) if i != birth.index}
         self.alarms: list[tuple[int, int, Callable, tuple]] = []
         self.alarm_no = self.serial = 0
-        if birth.peers and birth.mail_per_s:    # the answers to all greetings take half of what we take in
-            spread = int(2 * len(self.peers) / birth.mail_per_s * SECOND) + 1
+        if birth.peers and birth.mail_per_s:    # no faster than all answers are taken in
+            spread = int(1 / self.even)
             for i in self.peers:    # evenly over that time, at the receivers too
                 turn = (i - birth.index) % birth.gateways
                 self._at(now + spread * turn // birth.gateways, self._greet, i, SECOND // 4)
         self.woken: int | None = None
         self.mean_latency = min((row.mean for row in self.methods), default=SECOND / 10)
-        # The usual latency when servers are quiet: falls with the mean at once, rises by 0.2% an answer (it doubles
-        # in a minute at six a second); its first twenty answers replace the guess.
+        # The usual latency when servers are quiet: falls with the mean at once, rises by 0.2% an answer (it
+        # doubles in a minute at six a second); its first twenty answers replace the guess.
         self.quiet, self.answers_seen = self.mean_latency, 0
         self.reply, self.trouble = 0.0, 0.1     # usual wait for a reply; recent share of calls late or failed
+        self.list_pause = birth.list_patience // 3  # before the list is asked for again; doubles
         self.let_in = 1.0                       # share of the RPCs let in, learnt from answers
-        # A look asks two servers. It is to save more RPCs than it costs: a twentieth at least, or both probes.
+        # A look asks two servers. It is to save more RPCs than it costs: a twentieth or both probes at least.
         self.pays = max(0.05, 2 * birth.probe_price)
         self.dear = self.pays > 0.05
         self.lag = 0.0                          # how late its own timers come: how far this gateway is behind
@@ -233,8 +234,9 @@
         return bucket
 
     def _first_life(self) -> bool:
-        """Whether all others said that they never knew us before. A twentieth may be missing, or one that is down
-        would keep buckets empty in a whole tier: where most were killed at once, more than that are left to tell."""
+        """Whether all others said that they never knew us before. A twentieth may be missing, or one that is
+        down would keep buckets empty in a whole tier: where most were killed at once, more than that are left
+        to tell."""
         return -1 not in self.strangers and len(self.strangers) <= self.birth.gateways // 20
 
     def _take(self, table: dict, ask: face.Arrival | wire.Ask, shares: Shares, holder: tuple) -> int:
@@ -342,8 +344,9 @@
             self._at(self.now + 1, self._flush, to)     # later in this batch's reply or in the next
 
     def _greet(self, to: int, pause: int) -> None:
-        """An empty frame, until the other is heard. Guards against a tier in which some never write to each other:
-        nobody could tell there that this is a first life, and buckets under a ceiling would begin empty."""
+        """An empty frame, until the other is heard. Guards against a tier in which some never write to each
+        other: nobody could tell there that this is a first life, and buckets under a ceiling would begin
+        empty."""
         if not self.peers[to].life:
             self._flush(to, True)
             self._at(self.now + pause, self._greet, to, min(2 * pause, 16 * SECOND))
@@ -373,7 +376,7 @@
                 earlier = frame.again or frame.to_life not in (0, self.life)
                 self.strangers = {-1} if earlier else self.strangers - {event.sender}
                 for bucket in (*self.buckets.values(), *self.slices.values()) if self._first_life() else ():
-                    # Our first life: what read as empty was full. Guards against a second burst for all others.
+                    # Our first life: what read as empty was full. The others get no second burst.
                     bucket.tokens, bucket.lacks = bucket.tokens + bucket.lacks, 0.0
         if not peer.window.fresh(frame.number):
             return
@@ -439,8 +442,8 @@
                 if chosen is not None:
                     yield face.Send(rpc.id, chosen, 0)
                     server = self.servers[chosen]
-                    # For a second copy. Guards against looks summed over the fleet: where they are dear, at three
-                    # fifths of the soft deadline, which few reach that would have been answered.
+                    # For a second copy. Guards against looks summed over the fleet: where they are dear, at
+                    # three fifths of the soft deadline, which few reach that would have been answered.
                     copy_at = self.now + rpc.row.late * (3 if self.dear else 2) // 2
                 elif not rpc.out:
                     break
@@ -508,9 +511,15 @@
 
     def _list(self, event: face.ServerList) -> None:
         if self.birth.asks_list and (event.failed or not self.servers):     # on a failure, and at the start
-            self.commands.append(face.Subscribe())
+            # Guards against a discovery that is overbooked and stays so, since each call costs it though it fails:
+            # first within two seconds of the start, for many may start at once, which fail after about so long; then
+            # after a third of the time in which one has to ask, twice as long each time, up to all of it.
+            pause = self.list_pause * event.failed
+            self._at(self.now + pause // 2 + self._random(pause or 2 * SECOND), self._subscribe)
+            self.list_pause = min(2 * self.list_pause, self.birth.list_patience)
         if event.failed:
             return
+        self.list_pause = self.birth.list_patience // 3
         for entry in event.entries:
             server = self.servers.get(entry.server)
             if server is None or entry.up_since != server.since:    # another process: nothing learnt holds
@@ -527,6 +536,9 @@
             self.commands.append(face.Forget(index))
         self.ready = [index for index, server in sorted(self.servers.items()) if server.state == State.READY]
 
+    def _subscribe(self) -> None:
+        self.commands.append(face.Subscribe())
+
     def _judge(self, server: Server, method: int, status: Status, elapsed: int) -> None:
         row, seldom = self.methods[method], self.now - server.heard > SECOND
         late = elapsed > row.late
@@ -561,16 +573,18 @@
                 server.aside_until, server.trickle, server.bad = self.now + SECOND, 1, 0.0
 
     def _rank(self, server: Server) -> float:
-        # Recent failures weigh up to five times: failing fast is not quick. An eighth is chance. Guards against
-        # connections that are opened for one RPC each: one not heard for as long as they last would need a new one.
-        # But a cold one whose pause is over is due, or what it can do is lost with each turn that is missed.
+        # Recent failures weigh up to five times: failing fast is not quick. An eighth is chance. Guards
+        # against connections that are opened for one RPC each: one not heard for as long as they last would
+        # need a new one. But a cold one whose pause is over is due, or what it can do is lost with each turn
+        # that is missed.
         new = 4 * self.birth.connection_price * (self.now - server.heard >= self.birth.idle_time)
         place = 0.5 if self._pause(server) else 1 + new
-        return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * place * (1 + self._random(64) / 512)
+        place *= 1 + self._random(64) / 512
+        return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * place
 
     def _pause(self, server: Server) -> int:
-        """The time between own call-outs to a cold server: all gateways together must not push it over. By the
-        latency of quiet times: a queue at the warm ones would keep the cold ones from helping."""
+        """The time between own call-outs to a cold server: all gateways together must not push it over. By
+        the latency of quiet times: a queue at the warm ones would keep the cold ones from helping."""
         if not server.since or self.now >= server.since + self.birth.cold_time:
             return 0
         ages = max(0, self.now - server.since) + max(0, server.sent_at - server.since)
--- a/oakfork/sockets/discovery.py
+++ b/oakfork/sockets/discovery.py
@@ -1,5 +1,6 @@
 """Keeps up with the list of servers by watches, one after the other."""
 import json
+import random
 from typing import Any, Mapping
 
 import trio
@@ -15,7 +16,11 @@
 # one with no news until it is over.
 HOLD = 1.0
 PROMPT = 1.0
-PAUSE = 0.1     # seconds before a broken watch is taken up again
+# Seconds before a broken watch is taken up again: twice as long after each failure, drawn from the upper half of that.
+# The longest is what is left of the six seconds after a silent watch and a new connection. Where lists come on asking,
+# the module says when a call that failed is made again.
+PAUSE = 0.1
+LONGEST_PAUSE = 3.2
 
 
 class Discovery:
@@ -26,6 +31,8 @@
         self.asked = trio.Event()       # set while a watch is wanted
         self.watching = trio.CancelScope()
         self.broken = False             # told in the log once, until it goes on
+        self.pause = PAUSE
+        self.chance = random.Random(here.birth.seed)
         if not here.birth.asks_list:
             self.asked.set()
 
@@ -40,10 +47,12 @@
                     if not self.broken:
                         self.log.warning("the watch of the server list broke", ending=end.ending.name)
                     self.broken = True
-                    await trio.sleep(PAUSE)
-                    if self.here.birth.asks_list:       # the module asks again, and at once
+                    if self.here.birth.asks_list and end.ending is Ending.ERROR:    # the module says when to ask again
                         self.asked = trio.Event()
                         await self.queue.send(Listed(False, True, ()))
+                        continue
+                    pause, self.pause = self.pause, min(2 * self.pause, LONGEST_PAUSE)
+                    await trio.sleep(pause * (1 + self.chance.random()) / 2)
 
     def subscribe(self, on: bool) -> None:
         if on:
@@ -55,7 +64,7 @@
     def turn_to(self, address: Address) -> None:
         """Goes over to another agent at once, and asks it for the whole list: what the two count may differ."""
         if address != self.address:
-            self.address, self.version, self.broken = address, None, False
+            self.address, self.version, self.broken, self.pause = address, None, False, PAUSE
             self.watching.cancel()
 
     async def read_once(self) -> None:
@@ -96,7 +105,7 @@
             except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
                 self.version = None     # what was missed is not known: the whole list next
                 raise Break(Ending.MALFORMED) from None
-            self.version, self.broken = version, False
+            self.version, self.broken, self.pause = version, False, PAUSE
             if servers or complete:
                 await self.queue.send(Listed(complete, False, servers))
             return
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -561,3 +561,29 @@
     answers = [brain.handle(61 * SECOND, face.PeerFrame(7, wire.pack(9, 0, 1, 0, [])))]
     answers += [brain.handle(61 * SECOND + 5, face.TimeCame(0))]
     assert [c.peer for commands in answers for c in commands if isinstance(c, face.Tell)].count(7) == 1
+
+
+def test_an_overbooked_discovery_is_asked_less_and_less_and_by_no_two_gateways_in_step():
+    """Guards against tens of gateways that all ask again at once and leave discovery no time for any of them."""
+    asked = {}
+    for seed in range(20):
+        times = asked[seed] = []
+        brain = Brain(birth(asks_list=True, list_patience=10 * SECOND, seed=seed << 40), 0)
+        events, now = [face.ServerList(True, False, (entry(0),))], 0
+        while now < 60 * SECOND:
+            for event in events:
+                for command in brain.handle(now, event):
+                    times += [now] * isinstance(command, face.Subscribe)
+            now, events = now + 100, [face.TimeCame(0)]
+            if times and times[-1] == now - 100:    # answered at once: it failed
+                events.append(face.ServerList(False, True, ()))
+        first, *pauses = [after - before for before, after in zip([0, *times], times, strict=False)]
+        assert first <= 2 * SECOND + 100
+        for number, pause in enumerate(pauses):
+            usual = min(10 * SECOND, 10 * SECOND // 3 << number)
+            assert usual // 2 <= pause <= 3 * usual // 2 + 300
+        assert 4 < len(times) < 10
+    firsts = sorted(times[0] for times in asked.values())
+    assert max(sum(at <= first < at + SECOND // 4 for first in firsts) for at in firsts) < 8    # of twenty
+    brain.handle(now, face.ServerList(True, False, (entry(0),)))    # a list has come: the pause is short again
+    assert brain.list_pause == 10 * SECOND // 3
