Ask for the list at once where none is known at the start

Seen on reading the change once more: where lists come on asking, the first call waits up to two seconds by chance, also at a gateway whose configuration names no server; it would push everything back until then. At fault: Brain._list.

Change: with no server known, the first call comes at once. The test fails without it.

--- a/oakfork/brain.py
+++ b/oakfork/brain.py
@@ -549,8 +549,8 @@
             # Guards against a discovery that is overbooked and stays so, since each call costs it though it
             # fails: first within two seconds of the start, for many may start at once; then after a third of
             # the time in which one has to ask, twice as long each time, up to all of it.
-            pause = self.list_pause * event.failed
-            self._at(self.now + pause // 2 + self._random(pause or 2 * SECOND), self._subscribe)
+            pause, first = self.list_pause * event.failed, 2 * SECOND if event.entries else 1
+            self._at(self.now + pause // 2 + self._random(pause or first), self._subscribe)
             self.list_pause = min(2 * self.list_pause, self.birth.list_patience)
         if event.failed:
             return
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -584,10 +584,14 @@
             usual = min(10 * SECOND, 10 * SECOND // 3 << number)
             assert usual // 2 <= pause <= 3 * usual // 2 + 300
         assert 4 < len(times) < 10
+    brain = Brain(birth(asks_list=True), 0)     # one that knows no server can't wait
+    commands = brain.handle(0, face.ServerList(True, False, ())) + brain.handle(1, face.TimeCame(0))
+    assert face.Subscribe in kinds(commands)
     firsts = sorted(times[0] for times in asked.values())
     assert max(sum(at <= first < at + SECOND // 4 for first in firsts) for at in firsts) < 8    # of twenty
-    brain.handle(now, face.ServerList(True, False, (entry(0),)))    # a list has come: the pause is short again
-    assert brain.list_pause == 10 * SECOND // 3
+    brain.list_pause = 7 * SECOND
+    brain.handle(2, face.ServerList(True, False, (entry(0),)))      # a list has come: the pause is short again
+    assert brain.list_pause == SECOND // 3
 
 
 def _told_of(brain: Brain, now: int, *readings: wire.Reading, version=wire.VERSION, number=1) -> None:
