End a gateway's life in one place of the tests' world, and drop what its fleet never used

Read through once more: the end of a life (its number, its RPCs) stood three times, in World.launch, Fleet.launch and Fleet.kill; now World.end_life. Fleet.calls was counted and never read, and Forget was passed over though the world has no case for it anyway.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,14 +23,13 @@
         self.lost: set[int] = set()         # servers that say nothing
         self.bad: set[int] = set()          # servers that fail most call-outs
         self.cuts: set[tuple[int, int]] = set()     # frames from the one never reach the other
-        self.silent_until = self.calls = self.refused = 0
+        self.silent_until = self.refused = 0
         self.cold: dict[int, list[int]] = {}        # server -> when call-outs came
         super().__init__(seed, gateways, servers, probing=True)
         self.link_cap = 100 / 4     # most others say nothing at any time
 
     def launch(self, index: int) -> None:
-        self.lives[index] += 1
-        self.rpcs = {key: known for key, known in self.rpcs.items() if key[0] != index}
+        self.end_life(index)
         told = birth(index, self.count, self.dice.getrandbits(64), probing=True, asks_list=self.asks_list,
                      probe_price=0.08, connection_price=0.08, mail_per_s=100.0, list_patience=10 * SECOND)
         self.brains[index] = Brain(told, self.now)
@@ -48,13 +47,12 @@
 
     def carry_out(self, index: int, command) -> None:
         if isinstance(command, face.Subscribe):
-            self.calls += 1
             if self.now < self.silent_until or self.dice.random() < 0.2:
                 self.refused += 1
                 self.later(self.dice.choice((50, 50, 50, 20_000)), index, face.ServerList(False, True, ()))
             else:
                 self.later(self.dice.randint(50, 15_000), index, self.list_whole)
-        elif not isinstance(command, face.Forget):
+        else:
             super().carry_out(index, command)
 
     def list_whole(self, index: int) -> None:
@@ -102,8 +100,7 @@
     def kill(self, share: float) -> None:
         """That part of the gateways at one instant; all are back together."""
         for index in self.dice.sample(range(self.count), int(self.count * share)):
-            self.lives[index] += 1
-            self.rpcs = {key: known for key, known in self.rpcs.items() if key[0] != index}
+            self.end_life(index)
             self.down_until[index] = self.now + SECOND // 2
             self.later(SECOND // 2, index, self.launch)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -55,9 +55,13 @@
         self.order += 1
         heapq.heappush(self.queue, (self.now + after, self.order, gateway, self.lives[gateway], event))
 
-    def launch(self, index: int) -> None:
+    def end_life(self, index: int) -> None:
+        """What that gateway held is its clients' to retry, and no event of that life concerns it any more."""
         self.lives[index] += 1
         self.rpcs = {key: known for key, known in self.rpcs.items() if key[0] != index}
+
+    def launch(self, index: int) -> None:
+        self.end_life(index)
         self.brains[index] = Brain(birth(index, self.count, self.dice.getrandbits(64), probing=self.probing), self.now)
         self.told[index] = {server: (State.READY, 0) for server in range(self.servers)}
         self.give(index, face.ServerList(True, False, tuple(entry(server) for server in range(self.servers))))
