--- a/oakfork/peerwire.py
+++ b/oakfork/peerwire.py
@@ -95,11 +95,13 @@
 
 
 class Window:
-    """Tells doubled frames by their numbers; the 64 before the latest are remembered."""
+    """Tells doubled frames by their numbers, of which the 64 before the latest are remembered, and late ones by their
+    clocks."""
 
     def __init__(self) -> None:
         self.latest: int | None = None
         self.seen = 0
+        self.skew: int | None = None    # the least difference of clocks seen: a frame without delay
 
     def fresh(self, number: int) -> bool:
         if self.latest is None:
@@ -116,6 +118,13 @@
         self.seen |= bit
         return fresh
 
+    def delay(self, now: int, clock: int) -> int:
+        """Milliseconds by which a frame is later than the quickest so far; both clocks in milliseconds, of 16 bits."""
+        late = (now - clock) & 0xFFFF
+        if self.skew is None or (late - self.skew + 0x8000 & 0xFFFF) < 0x8000:
+            self.skew = late
+        return late - self.skew & 0xFFFF
+
 
 def unpack(data: bytes) -> Frame | None:
     """The frame, or None where it is truncated, too long or not ours."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -163,7 +163,7 @@
     fleet.run(24, 20)
     assert all(fleet.subscribed)
     gone = {server for server, (state, _) in fleet.truth.items() if state == State.GONE}
-    assert not any(gone & set(brain.ready) for brain in fleet.brains)
+    assert not any(gone & set(brain.servers.ready) for brain in fleet.brains)
     late = fleet.run(4)
     assert late["ok"] > 3 * late["aborted"] and late["ok"] > 20
 
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,114 @@
+"""Lists of servers as discovery tells them to the program, late, broken or not at all."""
+import json
+import signal
+import time
+from types import SimpleNamespace
+
+import structlog
+import trio
+import trio.testing
+from standins import Discovery, echo, entry, rpc, settings, until
+
+from oakfork.sockets import discovery as watches
+from oakfork.sockets.endings import Break, Ending
+
+
+def test_changes_of_the_list_are_followed(world):
+    with world(echo, echo) as w:
+        for state in ({"state": "draining"}, {"state": "removed"}):
+            w.discovery.change([w.list[0] | state])
+            assert until(lambda: len(w.discovery.seen) >= w.discovery.version)
+            time.sleep(0.1)
+            before = len(w.servers[0].seen)
+            assert all(rpc(w.at)[0] == 200 for _ in range(8)) and len(w.servers[0].seen) == before
+        unusable = [{"id": 5, "state": "up", "addr": "nowhere"}, "nonsense", entry(9, None), entry(8, w.at, cell="x"),
+                    entry(7, w.at, started_ms=float("inf")), entry(6, w.at, zone=["z"], state="up")]
+        w.discovery.change([*unusable, w.list[0], w.list[1] | {"state": "draining"}])
+        assert until(lambda: len(w.discovery.seen) >= w.discovery.version)
+        time.sleep(0.1)
+        assert all(rpc(w.at)[0] == 200 for _ in range(4)) and len(w.servers[0].seen) == before + 4
+
+
+def test_a_watch_that_has_gone_silent_is_taken_up_again(world):
+    def silent(handler, body):      # the connection stays open, and nothing more comes on it
+        if len(w.discovery.seen) <= 2:
+            time.sleep(30)
+        else:
+            w.discovery.tell(handler, body)
+
+    with world(echo, echo) as w:
+        w.discovery.act = silent
+        w.discovery.change([w.list[0] | {"state": "removed"}])
+        begun = time.monotonic()
+        assert until(lambda: len(w.discovery.seen) > 3) and time.monotonic() - begun < 5
+        before = len(w.servers[0].seen)
+        assert all(rpc(w.at)[0] == 200 for _ in range(6)) and len(w.servers[0].seen) == before
+
+
+def test_a_broken_list_leaves_the_last_one_valid(world):
+    with world(echo) as w:
+        bad = [b'{"version": "x"', b"[]", b"[" * 60_000, b'{"version": Infinity, "full": 1, "servers": []}',
+               b"x" * 70_000]
+        w.discovery.act = lambda handler, body: handler.reply(200, bad[len(w.discovery.seen) % len(bad)])
+        w.discovery.change([])
+        time.sleep(1.0)
+        assert rpc(w.at)[0] == 200 and 3 < len(w.discovery.seen) < 12
+
+
+def test_where_lists_come_on_asking_a_dead_discovery_is_asked_now_and_then(world):
+    with world(echo, settings=settings(discovery="subscribe")) as w:
+        assert until(lambda: w.discovery.seen) and "from=1&" in w.discovery.seen[0][1]
+        w.discovery.act = lambda handler, body: handler.reply(503)
+        w.discovery.change([])
+        assert until(lambda: len(w.discovery.seen) > 3)     # after a third of a second at first, at most one later
+        time.sleep(0.3)
+        assert rpc(w.at)[0] == 200 and len(w.discovery.seen) < 7
+
+
+def test_an_overbooked_discovery_is_asked_less_and_less_and_by_no_two_gateways_in_step(monkeypatch):
+    """Guards against tens of gateways that ask ten times a second and leave discovery no time for any of them."""
+    async def asked(seed):
+        here = SimpleNamespace(discovery=("127.0.0.1", 1), known={}, birth=SimpleNamespace(asks_list=False, seed=seed))
+        watcher, times = watches.Discovery(here, None, structlog.get_logger()), []
+
+        async def refused():
+            times.append(trio.current_time())
+            if len(times) == 12:    # one that succeeds and then breaks
+                watcher.pause = watches.PAUSE
+            raise Break(Ending.ERROR)
+        monkeypatch.setattr(watcher, "_watch", refused)
+        with trio.move_on_after(60):
+            await watcher.run()
+        return [after - before for before, after in zip(times, times[1:], strict=False)]
+
+    one, two = (trio.run(asked, seed, clock=trio.testing.MockClock(autojump_threshold=0)) for seed in (1, 2))
+    for pauses in (one, two):
+        for number, pause in enumerate(pauses):
+            longest = min(watches.LONGEST_PAUSE, watches.PAUSE * 2 ** (number if number < 11 else number - 11))
+            assert longest / 2 <= pause <= longest + 1e-6
+        assert len(pauses) > 18 and max(pauses) > 2
+    assert all(abs(a - b) > 1e-4 for a, b in zip(one, two, strict=False))
+
+
+def test_sighup_turns_to_the_addresses_of_the_new_configuration(world):
+    with world(echo, echo) as w:
+        path = w.folder / "n0.json"
+        assert rpc(w.at)[0] == 200
+        for text in ("", "[]", "{", '{"discovery": "nowhere"}'):     # unusable ones change nothing
+            path.write_text(text)
+            w.process.send_signal(signal.SIGHUP)
+            time.sleep(0.05)
+            assert rpc(w.at)[0] == 200
+        other = Discovery([w.list[1]])     # it knows of the second server only
+        path.write_text(json.dumps(w.told | {"discovery": other.address}))
+        w.process.send_signal(signal.SIGHUP)
+        w.process.send_signal(signal.SIGHUP)
+        assert until(lambda: len(other.seen) > 1) and "from=" not in other.seen[0][1]
+        time.sleep(0.1)
+        before, old = len(w.servers[0].seen), len(w.discovery.seen)
+        assert all(rpc(w.at)[0] == 200 for _ in range(6)) and len(w.servers[0].seen) == before
+        other.change([w.list[0], w.list[1] | {"state": "removed"}])
+        assert until(lambda: rpc(w.at)[0] == 200 and len(w.servers[0].seen) > before + 2)
+        assert w.process.poll() is None and len(w.discovery.seen) == old
+        other.shutdown()
+        other.server_close()
