Give errors one hierarchy that says what an operator can do

Need: each exception had its own base and no advice; log, command line and docs said different things of the same fault.

A test walks the sources and finds any raised error without a text.

--- a/oakfork/command.py
+++ b/oakfork/command.py
@@ -14,8 +14,7 @@
 import click
 
 from oakfork import __version__
-
-WRONG, MISTAKE = 1, 2
+from oakfork.errors import MISTAKE, WRONG, ConfigurationError, ExperimentError, LoadError, OakforkError, lines
 
 
 class Group(click.Group):
@@ -40,6 +39,10 @@
     sys.exit(status)
 
 
+def _refuse(error: OakforkError, where: str = "", faults: list[str] | None = None) -> None:
+    _fail(lines(error, where, faults), error.status)
+
+
 @click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, message="%(version)s")
 def main() -> None:
@@ -55,14 +58,14 @@
         os.environ["LB_CONFIG"] = config
     path = os.environ.get("LB_CONFIG") or _fail("LB_CONFIG names no file, nor does --config")
     if faults := _faults(path):
-        _fail("\n".join(f"{path}: {fault}" for fault in faults))
+        _refuse(ConfigurationError(), path, faults)
     run()
 
 
 def _faults(path: str) -> list[str]:
     """All that the schema or the gateway's own reading finds wrong in a configuration."""
     from oakfork.format import faults_in
-    from oakfork.sockets.configuration import ConfigurationError, read
+    from oakfork.sockets.configuration import read
     try:
         told = json.loads(Path(path).read_bytes())
     except (OSError, ValueError, RecursionError) as error:
@@ -101,11 +104,11 @@
 
 
 def _experiment(path: str) -> Any:
-    from oakfork.lab.experiment import ExperimentError, read
+    from oakfork.lab.experiment import read
     try:
         return read(path)
     except ExperimentError as error:
-        _fail("\n".join(f"{path}: {fault}" for fault in error.faults))
+        _refuse(error, path)
 
 
 def _results(folder: str) -> list[dict[str, Any]]:
@@ -224,11 +227,11 @@
 @click.option("--json", "as_json", is_flag=True, help="The result as JSON.")
 def lab_load(gateways: tuple[str, ...], as_json: bool, **told: Any) -> int:
     """Send an open-loop load to real gateways on loopback addresses, HOST:PORT each."""
-    from oakfork.lab.load import Load, LoadError, run
+    from oakfork.lab.load import Load, run
     try:
         report = run(Load(gateways=gateways, **told))
     except LoadError as error:
-        _fail(str(error))
+        _refuse(error)
     click.echo(json.dumps(dataclasses.asdict(report)) if as_json else report.text())
     return WRONG if report.answers.get("none") else 0
 
--- /dev/null
+++ b/oakfork/errors.py
@@ -0,0 +1,92 @@
+"""Everything that the program raises by itself, in one hierarchy: each type says what an operator can do about it.
+
+The log line (`told`), the command line and the table in docs/oncall.md take that text from here.
+"""
+from typing import Any, ClassVar
+
+WRONG, MISTAKE = 1, 2       # exit codes: it went wrong while running; the user's mistake
+
+
+class OakforkError(Exception):
+    """`todo`: what an operator can do, in one sentence. `status`: the exit code where it ends a command."""
+    todo: ClassVar[str] = ""
+    status: ClassVar[int] = WRONG
+
+
+class ConfigurationError(OakforkError):
+    """A gateway's configuration is not usable."""
+    todo = "correct what is named in the configuration; `oakfork check FILE` tries it before a start or a SIGHUP"
+    status = MISTAKE
+
+
+class AddressTaken(OakforkError):
+    """An address of the gateway's own can't be had."""
+    todo = "end the program that has the address, or name another one in the configuration"
+
+
+class ExperimentError(OakforkError):
+    """An experiment file is not usable; each line names a place in it and what is wrong there."""
+    todo = "correct what is named in the experiment file; docs/lab.md has all its keys"
+    status = MISTAKE
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+class LoadError(OakforkError):
+    """A load that is not sent."""
+    todo = "name gateways by loopback addresses, HOST:PORT, and a load within the bounds of docs/lab.md"
+    status = MISTAKE
+
+
+class WireError(OakforkError):
+    """What came on the simulator's wire can't be read."""
+    todo = "report the line: the simulator and the adapter do not agree on the wire"
+
+
+class CommandUnknown(OakforkError):
+    """The module told the adapter something that has no record on the wire."""
+    todo = "report the line: the module and the adapter are of two versions"
+
+
+class BadRequest(OakforkError):
+    """A client's request is not one of the protocol; the text tells why. It is answered 400."""
+    todo = "talk to the client: the answer's body says what is wrong with its request"
+
+
+class Break(OakforkError):
+    """A connection can't be used any more; `ending` says how it ended."""
+    todo = "look at the party at the other end of that connection: the ending's name says what it did"
+
+    def __init__(self, ending: Any) -> None:
+        super().__init__(ending.name)
+        self.ending = ending
+
+
+def told(error: OakforkError) -> dict[str, str]:
+    """The fields of a log line on an error."""
+    return {"error": str(error), "todo": error.todo}
+
+
+def lines(error: OakforkError, where: str = "", faults: list[str] | None = None) -> str:
+    """What a command prints: a line a fault, and what to do behind the only one or on a line of its own."""
+    said = [f"{where}: {fault}" if where else fault for fault in faults or getattr(error, "faults", [str(error)])]
+    return f"{said[0]}; {error.todo}" if len(said) == 1 else "\n".join([*said, error.todo])
+
+
+def all_errors(of: type[OakforkError] = OakforkError) -> list[type[OakforkError]]:
+    """Every type below `of`, as far as its module has been imported, by name."""
+    below = {sub for kind in of.__subclasses__() for sub in (kind, *all_errors(kind))}
+    return sorted(below, key=lambda kind: kind.__name__)
+
+
+def table() -> str:
+    """The rows of docs/oncall.md."""
+    rows = [f"| `{kind.__name__}` | {(kind.__doc__ or '').strip()} | {kind.todo} |" for kind in all_errors()]
+    return "\n".join(["| error | what it means | what to do |", "| --- | --- | --- |", *rows])
+
+
+if __name__ == "__main__":
+    from oakfork import errors  # as the others import it
+    print(errors.table())
--- a/oakfork/lab/experiment.py
+++ b/oakfork/lab/experiment.py
@@ -11,6 +11,7 @@
 from typing import Any, Iterator
 
 from oakfork.birth import tenths
+from oakfork.errors import ExperimentError
 from oakfork.format import against
 from oakfork.interface import SECOND, Repeat
 from oakfork.lab import plan
@@ -23,14 +24,6 @@
 SIZED = frozenset(("slow", "fail_fast", "lose_frames", "late_lists", "surge"))
 
 
-class ExperimentError(Exception):
-    """The file is not usable; each line names a place in it and what is wrong there."""
-
-    def __init__(self, faults: list[str]) -> None:
-        super().__init__("; ".join(faults))
-        self.faults = faults
-
-
 def _number(default: float, low: float, high: float, text: str) -> dict[str, Any]:
     return {"type": "number", "default": default, "minimum": low, "maximum": high, "description": text}
 
--- a/oakfork/lab/load.py
+++ b/oakfork/lab/load.py
@@ -9,8 +9,8 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from oakfork.sockets.configuration import Address, ConfigurationError, address
-from oakfork.sockets.endings import Break
+from oakfork.errors import Break, ConfigurationError, LoadError
+from oakfork.sockets.configuration import Address, address
 from oakfork.sockets.heads import Link, connect
 
 MOST_RPCS = 1_000_000
@@ -19,10 +19,6 @@
 CONNECT = 1.0       # seconds for a connection to come up
 
 
-class LoadError(Exception):
-    """What was asked for is not done."""
-
-
 @dataclass(frozen=True, slots=True)
 class Load:
     gateways: tuple[str, ...]
--- a/oakfork/lab/loopback.py
+++ b/oakfork/lab/loopback.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+from abc import ABC, abstractmethod
 from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,13 +15,13 @@
 import numpy
 import trio
 
-from oakfork.sockets.endings import Break
+from oakfork.errors import Break
 from oakfork.sockets.heads import Link, Message
 
 MOST_CONNECTIONS = 2000
 
 
-class StandIn:
+class StandIn(ABC):
     """A party that answers HTTP/1.1 requests, in a trio nursery."""
 
     def __init__(self) -> None:
@@ -62,8 +63,9 @@
             trio.lowlevel.notify_closing(sock)
             link.close()
 
+    @abstractmethod
     async def answer(self, message: Message) -> tuple[int, bytes, list[tuple[str, str]]]:
-        raise NotImplementedError
+        """Status, body and headers of the answer to one request."""
 
 
 @dataclass
--- a/oakfork/serving.py
+++ b/oakfork/serving.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from oakfork.errors import ConfigurationError, lines
 from oakfork.sockets import configuration, gateway
 
 
@@ -22,8 +23,8 @@
 def serve() -> None:
     try:
         here = configuration.read(os.environ)
-    except configuration.ConfigurationError as error:
-        sys.exit("\n".join(f"oakfork: {fault}" for fault in _faults() or [str(error)]))
+    except ConfigurationError as error:
+        sys.exit("\n".join(f"oakfork: {line}" for line in lines(error, faults=_faults()).splitlines()))
     # What is loaded stays: no collection need look at it again. The rest is collected a tenth as often as by default:
     # an RPC leaves few cycles behind.
     gc.freeze()
--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -8,9 +8,10 @@
 import trio
 from structlog.stdlib import BoundLogger
 
+from oakfork.errors import BadRequest, Break
 from oakfork.sockets.configuration import Surroundings
-from oakfork.sockets.endings import Break, Ending
-from oakfork.sockets.exchange import Answer, BadRequest, Exchange
+from oakfork.sockets.endings import Ending
+from oakfork.sockets.exchange import Answer, Exchange
 from oakfork.sockets.heads import LARGEST_BODY, Link, Message
 from oakfork.sockets.messages import Came, Left, Told
 
--- a/oakfork/sockets/configuration.py
+++ b/oakfork/sockets/configuration.py
@@ -4,16 +4,13 @@
 from typing import Any, Callable, Mapping, TypeVar
 
 from oakfork.birth import read_settings, tenths
+from oakfork.errors import ConfigurationError
 from oakfork.interface import Birth
 
 Address = tuple[str, int]
 Read = TypeVar("Read")
 
 
-class ConfigurationError(Exception):
-    """The configuration is not usable."""
-
-
 @dataclass(frozen=True, slots=True)
 class Names:
     """The indices of what the settings list by name."""
--- a/oakfork/sockets/counter.py
+++ b/oakfork/sockets/counter.py
@@ -5,8 +5,9 @@
 import trio
 
 from oakfork import interface as face
+from oakfork.errors import Break
 from oakfork.sockets.configuration import Address, Surroundings
-from oakfork.sockets.endings import STATUS, Break, Ending
+from oakfork.sockets.endings import STATUS, Ending
 from oakfork.sockets.heads import Link, Message, connect, plain
 from oakfork.sockets.messages import Told
 
--- a/oakfork/sockets/discovery.py
+++ b/oakfork/sockets/discovery.py
@@ -6,8 +6,9 @@
 import trio
 from structlog.stdlib import BoundLogger
 
+from oakfork.errors import Break
 from oakfork.sockets.configuration import Address, Surroundings
-from oakfork.sockets.endings import Break, Ending
+from oakfork.sockets.endings import Ending
 from oakfork.sockets.heads import Link, connect, plain
 from oakfork.sockets.messages import Listed, Told
 
@@ -45,7 +46,7 @@
                     await self._watch()
                 except Break as end:
                     if not self.broken:
-                        self.log.warning("the watch of the server list broke", ending=end.ending.name)
+                        self.log.warning("the watch of the server list broke", ending=end.ending.name, todo=end.todo)
                     self.broken = True
                     if self.here.birth.asks_list and end.ending is Ending.ERROR:    # the module says when to ask again
                         self.asked = trio.Event()
--- a/oakfork/sockets/endings.py
+++ b/oakfork/sockets/endings.py
@@ -40,11 +40,3 @@
     Ending.GIVEN_UP: Status.CANCELLED,
     Ending.TOO_LATE: Status.MOOT,
 }
-
-
-class Break(Exception):
-    """The connection can't be used any more."""
-
-    def __init__(self, ending: Ending) -> None:
-        super().__init__(ending.name)
-        self.ending = ending
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -6,6 +6,7 @@
 import trio
 
 from oakfork.birth import tenths
+from oakfork.errors import BadRequest
 from oakfork.interface import Birth, Repeat
 from oakfork.sockets.configuration import Names
 from oakfork.sockets.heads import Header, Message, pairs
@@ -22,10 +23,6 @@
 OURS = frozenset((b"x-txn", b"x-lane", b"x-tier", b"x-remaining-ms", b"x-call-terms", b"idempotency-key"))
 
 
-class BadRequest(Exception):
-    """The request is not one of the protocol; the text tells why."""
-
-
 class Answer(NamedTuple):
     status: int
     body: bytes = b""
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -9,8 +9,9 @@
 import trio
 from structlog.stdlib import BoundLogger
 
+from oakfork.errors import AddressTaken, ConfigurationError, told
 from oakfork.sockets.clients import Clients
-from oakfork.sockets.configuration import ConfigurationError, Surroundings, reread
+from oakfork.sockets.configuration import Surroundings, reread
 from oakfork.sockets.counter import Counter
 from oakfork.sockets.discovery import Discovery
 from oakfork.sockets.heads import bound
@@ -39,9 +40,9 @@
     try:
         listener = bound(socket.SOCK_STREAM, here.listen)
         datagrams = bound(socket.SOCK_DGRAM, here.peer_listen) if here.peer_listen else None
-    except OSError as error:
-        log.error("an address of its own can't be had", error=str(error))
-        sys.exit(1)
+    except AddressTaken as error:
+        log.error("an address of its own can't be had", **told(error))
+        sys.exit(error.status)
     queue, inbox = trio.open_memory_channel(QUEUE)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
@@ -79,7 +80,7 @@
     try:
         to_discovery, to_counter = reread(os.environ)
     except ConfigurationError as error:
-        log.error("the new configuration is not usable, the old one holds", error=str(error))
+        log.error("the new configuration is not usable, the old one holds", **told(error))
         return
     discovery.turn_to(to_discovery)
     if counter is not None and to_counter is not None:
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -6,7 +6,8 @@
 import h11
 import trio
 
-from oakfork.sockets.endings import Break, Ending
+from oakfork.errors import AddressTaken, Break
+from oakfork.sockets.endings import Ending
 
 LARGEST_BODY = 64 * 1024    # PROTOCOL: a body holds 64 KiB at most; servers have been seen to say more
 LARGEST_HEAD = 16 * 1024
@@ -186,12 +187,16 @@
 
 
 def bound(kind: socket.SocketKind, address: tuple[str, int]) -> socket.socket:
-    """A socket of ours at an address; raises OSError."""
+    """A socket of ours at an address; raises AddressTaken."""
     sock = socket.socket(socket.AF_INET, kind)
     sock.setblocking(False)
     if kind == socket.SOCK_STREAM:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
+    try:
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        raise AddressTaken(f"{address[0]}:{address[1]}: {error}") from error
     return sock
 
 
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -12,7 +12,8 @@
 from oakfork import interface as face
 from oakfork.brain import Brain
 from oakfork.door import Door
-from oakfork.sockets.configuration import Address, ConfigurationError, Surroundings, address
+from oakfork.errors import ConfigurationError
+from oakfork.sockets.configuration import Address, Surroundings, address
 from oakfork.sockets.counter import Counter
 from oakfork.sockets.discovery import Discovery, rows
 from oakfork.sockets.endings import STATUS, Ending
--- a/oakfork/sockets/servers.py
+++ b/oakfork/sockets/servers.py
@@ -4,8 +4,9 @@
 import h11
 import trio
 
+from oakfork.errors import Break
 from oakfork.sockets.configuration import Address
-from oakfork.sockets.endings import Break, Ending
+from oakfork.sockets.endings import Ending
 from oakfork.sockets.heads import Link, Message, connect, pairs, plain
 
 EARLY = 1.0     # seconds before the other side's idle limit at which a connection is no longer used
--- a/oakfork/wirehost/codec.py
+++ b/oakfork/wirehost/codec.py
@@ -4,6 +4,7 @@
 from typing import BinaryIO, Iterator, NamedTuple
 
 from oakfork.birth import read_settings, tenths
+from oakfork.errors import WireError
 from oakfork.interface import Birth
 
 BATCH_HEADER = struct.Struct("<IdI")
@@ -27,10 +28,6 @@
 COUNTED = {LAUNCH: 1, ENDED: 4, CHECK_RESULT: 4, MESSAGE: 1, MANIFEST: ENTRY.size}  # bytes of one element
 
 
-class WireError(Exception):
-    """The input is not a batch of this wire."""
-
-
 class Record(NamedTuple):
     code: int
     values: tuple
--- a/oakfork/wirehost/host.py
+++ b/oakfork/wirehost/host.py
@@ -5,6 +5,7 @@
 from oakfork import interface as face
 from oakfork.brain import Brain
 from oakfork.door import Door
+from oakfork.errors import CommandUnknown, WireError
 from oakfork.wirehost import codec
 
 Decider = Callable[[face.Birth, int], Brain]
@@ -90,13 +91,13 @@
                 return codec.enter(name, amount, kept_for / 10)
             case face.Note(text):
                 return codec.note_down(text)
-        raise TypeError(f"no such command: {command!r}")
+        raise CommandUnknown(f"no such command: {command!r}")
 
     def handle(self, now: int, record: codec.Record, entries: bytes) -> bytes:
         try:
             event, index = self.event(record, entries)
         except (ValueError, OverflowError) as error:
-            raise codec.WireError(f"malformed frame: {codec.EVENTS[record.code][0]}: {error}") from error
+            raise WireError(f"malformed frame: {codec.EVENTS[record.code][0]}: {error}") from error
         commands = () if event is None else self.brain.handle(now, event)
         actions = []
         touched = set() if index is None else {index}
@@ -125,13 +126,13 @@
             elif record.code == codec.MANIFEST:
                 self.lists[record.values[0]] = record.tail
             elif current is None:
-                raise codec.WireError(f"malformed frame: event code {record.code} before any Context")
+                raise WireError(f"malformed frame: event code {record.code} before any Context")
             elif record.code == codec.EXIT:
                 self.instances.pop(current, None)
             else:
                 try:
                     actions = self.deliver(now, current, record)
-                except codec.WireError:
+                except WireError:
                     raise
                 except Exception as error:  # the module failed: the wire has a word for it
                     where = traceback.extract_tb(error.__traceback__)[-1]
@@ -150,11 +151,11 @@
             return b""
         instance = self.instances.get(current)
         if instance is None:
-            raise codec.WireError(f"malformed frame: event code {record.code} for instance {current}, not launched")
+            raise WireError(f"malformed frame: event code {record.code} for instance {current}, not launched")
         entries = b""
         if record.code == codec.DISCOVERY and record.values[0] != 3:
             if record.values[2] not in self.lists:
-                raise codec.WireError(f"malformed frame: list {record.values[2]} was never declared")
+                raise WireError(f"malformed frame: list {record.values[2]} was never declared")
             entries = self.lists[record.values[2]]
         return instance.handle(now, record, entries)
 
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,65 @@
+"""Every error the program raises says what an operator can do, and the same words stand in the log and the docs."""
+import ast
+import builtins
+import importlib
+import json
+import subprocess
+import sys
+
+import pytest
+from labworlds import ROOT
+from standins import Discovery, told
+
+from oakfork import errors
+
+SOURCES = sorted((ROOT / "oakfork").rglob("*.py"))
+
+
+def _name(node):
+    node = node.func if isinstance(node, ast.Call) else node
+    return node.attr if isinstance(node, ast.Attribute) else node.id
+
+
+def _raised(tree):
+    """The names of all types raised; `raise` alone and `raise error` pass on what is there."""
+    caught = {handler.name for handler in ast.walk(tree) if isinstance(handler, ast.ExceptHandler)}
+    names = [_name(node.exc) for node in ast.walk(tree) if isinstance(node, ast.Raise) and node.exc is not None]
+    return [name for name in names if name not in caught]
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_every_raised_error_says_what_to_do(path):
+    module = importlib.import_module(".".join(path.relative_to(ROOT).with_suffix("").parts)) \
+        if path.name not in ("__main__.py",) else errors
+    for name in _raised(ast.parse(path.read_text())):
+        kind = getattr(module, name, None) or getattr(errors, name, None) or getattr(builtins, name)
+        assert issubclass(kind, errors.OakforkError) and kind.todo, f"{name} says nothing of what to do"
+
+
+def test_an_error_without_a_text_is_found():
+    """Guards against a test that passes whatever is raised."""
+    assert _raised(ast.parse("raise ValueError('x')")) == ["ValueError"]
+    assert _raised(ast.parse("try:\n  pass\nexcept OSError as e:\n  raise e\nraise lab.LoadError")) == ["LoadError"]
+
+
+def test_the_page_on_call_has_the_texts_as_the_code_has_them():
+    page = (ROOT / "docs/oncall.md").read_text()
+    assert errors.table() in page, "docs/oncall.md: put in what `python -m oakfork.errors` prints"
+
+
+def test_the_log_line_of_an_error_has_its_text(tmp_path):
+    discovery = Discovery([])
+    document = told(discovery.address, []) | {"listen": discovery.address}     # taken
+    (tmp_path / "n0.json").write_text(json.dumps(document))
+    done = subprocess.run([sys.executable, "-m", "oakfork"], env={"LB_CONFIG": str(tmp_path / "n0.json")},
+                          capture_output=True, text=True, timeout=20, cwd=ROOT)
+    discovery.shutdown()
+    discovery.server_close()
+    line = json.loads(done.stderr.splitlines()[0])
+    assert done.returncode == errors.AddressTaken.status and line["todo"] == errors.AddressTaken.todo
+
+
+def test_faults_stand_on_a_line_each_and_what_to_do_once():
+    one, two = errors.ExperimentError(["a: bad"]), errors.ExperimentError(["a: bad", "b: worse"])
+    assert errors.lines(one, "f.toml") == f"f.toml: a: bad; {one.todo}"
+    assert errors.lines(two, "f.toml").splitlines() == ["f.toml: a: bad", "f.toml: b: worse", two.todo]
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -13,10 +13,11 @@
 
 from oakfork import interface as face
 from oakfork.brain import Brain
+from oakfork.errors import Break
 from oakfork.interface import NEVER_RAN, Status
 from oakfork.sockets import configuration
 from oakfork.sockets.counter import Counter, _result as counter_result
-from oakfork.sockets.endings import STATUS, Break, Ending
+from oakfork.sockets.endings import STATUS, Ending
 from oakfork.sockets.exchange import Exchange
 from oakfork.sockets.heads import LARGEST_BODY, Link, Message, connect, plain
 from oakfork.sockets.keeper import Keeper
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -9,8 +9,9 @@
 import trio.testing
 from standins import Discovery, echo, entry, rpc, settings, until
 
+from oakfork.errors import Break
 from oakfork.sockets import discovery as watches
-from oakfork.sockets.endings import Break, Ending
+from oakfork.sockets.endings import Ending
 
 
 def test_changes_of_the_list_are_followed(world):
