--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 
 build: .venv/built
 
-.venv/built: requirements.txt requirements-dev.txt
+.venv/built: requirements.txt requirements-lab.txt requirements-dev.txt pyproject.toml
 	test -d .venv || $(PYTHON) -m venv .venv
-	.venv/bin/pip -q install -r requirements-dev.txt
+	.venv/bin/pip -q install -r requirements-dev.txt -e .
 	touch $@
 
 test: build
--- a/experiments/same_commands.py
+++ b/experiments/same_commands.py
@@ -3,7 +3,7 @@
 
     python experiments/same_commands.py experiments/*.toml
 
-Each file is played with its first policy's place taken by the decision module, at each point of its sweep.
+Each file is played with the decision module, at the first four points of its sweep, three seeds each.
 """
 import hashlib
 import sys
--- a/oakfork/lab/crowd.py
+++ b/oakfork/lab/crowd.py
@@ -2,17 +2,15 @@
 from bisect import bisect
 from dataclasses import dataclass, field
 from itertools import accumulate
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from oakfork import interface as face
 from oakfork.interface import SECOND
 from oakfork.lab.checker import Watched
 from oakfork.lab.clock import Kind
 from oakfork.lab.plan import MethodPlan, PlanOfCustomers
-from oakfork.lab.tier import Exchange, Gateway
-
-if TYPE_CHECKING:
-    from oakfork.lab.world import World
+from oakfork.lab.stage import Exchange, Stage
+from oakfork.lab.tier import Gateway
 
 SHIFT = 10 * SECOND     # the gateways that a customer comes through most change so often
 
@@ -44,8 +42,18 @@
     tries: int = 0
 
 
+class Town(Stage, Protocol):
+    """The world as its customers see it."""
+    gateways: list[Gateway]
+    down_since: dict[int, int]
+    press: float
+    surge: float
+
+    def chance(self, stream: str) -> Any: ...
+
+
 class Crowd:
-    def __init__(self, world: "World") -> None:
+    def __init__(self, world: Town) -> None:
         self.world, plan = world, world.plan
         self.dice = world.chance("clients")
         self.next_rpc = 0
--- /dev/null
+++ b/oakfork/lab/stage.py
@@ -0,0 +1,73 @@
+"""What the gateways of the model see of its world: types only, so that no part of the model needs to know the whole."""
+from dataclasses import dataclass, field
+from typing import Any, Callable, Mapping, Protocol, Sequence
+
+from oakfork import interface as face
+from oakfork.lab.checker import Checker, Watched
+from oakfork.lab.clock import Loop
+from oakfork.lab.fleet import Job, Server
+from oakfork.lab.plan import WorldPlan
+from oakfork.lab.tally import Tally
+
+
+class Policy(Protocol):
+    """What decides: the decision module, or a baseline in its place."""
+    def handle(self, now: int, event: face.Event) -> Sequence[face.Command]: ...
+
+
+Decide = Callable[[face.Birth, int], Policy]
+
+
+@dataclass(slots=True)
+class CallOut:
+    number: int
+    server: Server
+    sent_at: int
+    job: Job | None = None
+    over: bool = False
+    reached: bool = False
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One RPC at its gateway."""
+    rpc: int
+    watched: Watched
+    units: float
+    answered: Callable[[str, int], None]    # called with the answer's word and the advice
+    index: int = -1
+    over: bool = False
+    call_outs: dict[int, CallOut] = field(default_factory=dict)
+    sent: int = 0
+
+
+class Host(Protocol):
+    """A gateway as the world sees it."""
+    number: int
+    zone: int
+    life: int
+    up: bool
+
+    def handle(self, event: face.Event, index: int | None = None) -> None: ...
+
+
+class Counting(Protocol):
+    def call(self, gateway: Any, call: face.Count) -> None: ...
+
+
+class Stage(Protocol):
+    """The world as a gateway of the model sees it."""
+    plan: WorldPlan
+    loop: Loop
+    checker: Checker
+    tally: Tally
+    decide: Decide
+    counter: Counting
+
+    @property
+    def servers(self) -> Mapping[int, Server]: ...
+    def birth(self, index: int, zone: int) -> face.Birth: ...
+    def distance(self, one: int, other: int) -> int: ...
+    def frame(self, sender: Any, peer: int, data: bytes) -> None: ...
+    def reach(self, gateway: Any, exchange: Exchange, call_out: CallOut, fresh: bool, life: int) -> None: ...
+    def probe(self, gateway: Any, index: int) -> None: ...
--- a/oakfork/lab/tier.py
+++ b/oakfork/lab/tier.py
@@ -1,52 +1,20 @@
 """A gateway of the model: hosts a policy as the real gateway hosts the module, and carries out its commands."""
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol, Sequence
+from typing import Sequence
 
 from oakfork import interface as face
 from oakfork.door import Door
 from oakfork.interface import SECOND, State, Status
-from oakfork.lab.checker import Watched
 from oakfork.lab.clock import Kind
-from oakfork.lab.fleet import Job, Server
-
-if TYPE_CHECKING:
-    from oakfork.lab.world import World
+from oakfork.lab.fleet import Server
+from oakfork.lab.stage import CallOut, Exchange, Policy, Stage
 
 EVERYONE = 0xFFFF
 
 
-class Policy(Protocol):
-    """What decides: the decision module, or a baseline in its place."""
-    def handle(self, now: int, event: face.Event) -> Sequence[face.Command]: ...
-
-
-@dataclass(slots=True)
-class CallOut:
-    number: int
-    server: Server
-    sent_at: int
-    job: Job | None = None
-    over: bool = False
-    reached: bool = False
-
-
-@dataclass(slots=True)
-class Exchange:
-    """One RPC at its gateway."""
-    rpc: int
-    watched: Watched
-    units: float
-    answered: "object"          # called with the answer's word and the advice
-    index: int = -1
-    over: bool = False
-    call_outs: dict[int, CallOut] = field(default_factory=dict)
-    sent: int = 0
-
-
 class Gateway:
     """All that dies with a process stands in `life`: what was planned for an earlier life is void."""
 
-    def __init__(self, world: "World", number: int, zone: int) -> None:
+    def __init__(self, world: Stage, number: int, zone: int) -> None:
         self.world, self.number, self.zone = world, number, zone
         self.life, self.up, self.deaf = 0, False, False
         self.policy: Policy | None = None
--- a/oakfork/lab/world.py
+++ b/oakfork/lab/world.py
@@ -10,14 +10,13 @@
 from oakfork.lab.crowd import Crowd
 from oakfork.lab.fleet import Job, Server
 from oakfork.lab.plan import Fault, WorldPlan
+from oakfork.lab.stage import CallOut, Decide, Exchange
 from oakfork.lab.tally import Tally
-from oakfork.lab.tier import EVERYONE, CallOut, Exchange, Gateway, Policy
+from oakfork.lab.tier import EVERYONE, Gateway
 
 STREAMS = ("clients", "work", "links", "faults", "discovery", "births")     # chance of one does not shift another's
 PROBE_WORK = 3      # tenths of a millisecond of a core that a probe costs a server
 
-Decide = Callable[[face.Birth, int], Policy]
-
 
 class Counter:
     """Adds to numbers by name; a call takes its time there and back."""
