--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """A large tier under the failures of a release: the rules are checked after every step. Bench-free, seeded."""
 import heapq
+from collections import Counter
 
 import pytest
 from world import World, arrival, birth, entry
@@ -211,3 +212,36 @@
         fleet.give(index, face.ServerList(False, False, (entry(100 + index, State.READY, fleet.now),)))
     answers = fleet.run(10)
     assert answers["ok"] > 100
+
+
+class Shares(Fleet):
+    """Counts what is asked and answered ok by method, customer and third of the time."""
+
+    def __init__(self, seed: int, **more) -> None:
+        self.thirds, self.begun = 20 * SECOND, None
+        self.asked, self.ok = Counter(), Counter()
+        super().__init__(seed, **more)
+
+    def give(self, index: int, event) -> None:
+        keys, before = (), self.answers["ok"]
+        if isinstance(event, face.Arrival | face.CallOutEnded):
+            self.begun = self.now if self.begun is None else self.begun
+            ask = event if isinstance(event, face.Arrival) else self.rpcs[index, self.lives[index], event.rpc]["ask"]
+            third = min(2, (self.now - self.begun) // self.thirds)
+            keys = ("method", ask.method), ("customer", ask.customer), ("third", third)
+        if isinstance(event, face.Arrival):
+            self.asked.update(keys)
+        super().give(index, event)
+        self.ok.update(keys if self.answers["ok"] > before else ())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_each_method_customer_and_third_gets_its_share(seed):
+    fleet = Shares(seed, gateways=12, asks_list=False)
+    fleet.bad.add(1)
+    fleet.run(60, 30)
+    whole = sum(fleet.ok.values()) / sum(fleet.asked.values())
+    assert whole > 0.6
+    for key, asked in fleet.asked.items():
+        assert fleet.ok[key] / asked >= whole * (1 / 3 if key[0] == "customer" else 1 / 2), key
+    assert len(fleet.asked) == 4 + 12 + 3
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -82,3 +82,42 @@
             thread.join()
         assert w.process.wait(3) == 0
     assert not lost and set(answers) <= {200, 503} and answers.count(200) > 100
+
+
+def test_clients_send_on_up_to_sigkill_and_lose_nothing(world):
+    """Clients send on each connection for as long as it stays open, up to SIGKILL: the longest deadline and 0.7 s after
+    SIGTERM. Nothing taken is left without its answer, and hardly a request meets a close with none."""
+    def uneven(handler, body):
+        time.sleep(0.6 if random.random() < 0.04 else 0.01)
+        echo(handler, body)
+
+    def client():
+        link = connection(w.at)
+        while not killed.is_set():
+            sent[0] += 1
+            try:
+                link.request("GET", f"/api?client={CUSTOMER}", None, headers())
+                answer = link.getresponse()
+                answer.read()
+                answers.append(answer.status)
+            except (http.client.RemoteDisconnected, ConnectionError):
+                closed.append(time.monotonic() - ended[0] if ended else -1.0)
+                link = connection(w.at)
+            if link.sock is None and ended and time.monotonic() > ended[0] + 0.4:
+                return      # the answer was the connection's last, and its front sends no new ones any more
+            time.sleep(0.002)
+
+    answers, closed, ended, sent, killed = [], [], [], [0], threading.Event()
+    with world(uneven, uneven, uneven) as w:
+        threads = [threading.Thread(target=client) for _ in range(16)]
+        for thread in threads:
+            thread.start()
+        time.sleep(1.5)
+        ended.append(time.monotonic())
+        w.process.send_signal(signal.SIGTERM)
+        assert w.process.wait(2.7) == 0     # before SIGKILL would come
+        killed.set()
+        for thread in threads:
+            thread.join()
+    assert len(answers) > 400 and set(answers) <= {200, 503}
+    assert len(closed) <= sent[0] / 200 and sent[0] == len(answers) + len(closed)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -113,3 +113,110 @@
         assert w.process.poll() is None and len(w.discovery.seen) == old
         other.shutdown()
         other.server_close()
+
+
+def test_the_longest_way_round_a_silent_watch_is_under_six_seconds(monkeypatch):
+    """Whatever went before: a call after the watch fell silent is made so early that its answer is there in time."""
+    class Silent:
+        """A connection on which some calls are answered and the next is not."""
+        def __init__(self, answered):
+            self.answered = answered
+
+        async def write(self, data):
+            pass
+
+        async def read(self):
+            if not self.answered:
+                silences.append(trio.current_time())
+                await trio.sleep_forever()
+            self.answered -= 1
+            await trio.sleep(watches.HOLD)
+            body = json.dumps({"version": 1, "full": False, "servers": []}).encode()
+            return SimpleNamespace(head=SimpleNamespace(status_code=200), body=body)
+
+        def renew(self):
+            return True
+
+        def close(self):
+            pass
+
+    async def connect(address, patience):
+        attempts.append(trio.current_time())
+        if len(attempts) % 9:       # discovery is away for long, so that the pauses have grown
+            raise Break(Ending.REFUSED)
+        await trio.sleep(patience - 0.001)
+        return Silent(len(attempts) // 9 % 3)
+
+    async def watch():
+        here = SimpleNamespace(discovery=("127.0.0.1", 1), known={"version": 1}, connect_patience=0.25,
+                               birth=SimpleNamespace(asks_list=False, seed=5))
+        monkeypatch.setattr(watches, "connect", connect)
+        with trio.move_on_after(400):
+            await watches.Discovery(here, None, structlog.get_logger()).run()
+
+    attempts, silences = [], []
+    trio.run(watch, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert len(silences) > 8
+    taken_up = [min(at for at in attempts if at > silence) - silence for silence in silences if attempts[-1] > silence]
+    assert max(taken_up) > watches.HOLD + watches.PROMPT + 1    # the pause had grown
+    assert max(taken_up) + 0.25 < 6.0 - 0.25        # with a new connection and the way of the news
+
+
+def test_lists_may_come_indented(world):
+    def indented(handler, body):
+        servers = [w.list[0] | {"state": "draining"}, w.list[1]]
+        told = {"version": 9, "full": True, "servers": servers}
+        if len(w.discovery.seen) > 2:
+            time.sleep(0.5)
+        handler.reply(200, json.dumps(told, indent=8).replace("\n", "\r\n").encode())
+
+    with world(echo, echo) as w:
+        w.discovery.act = indented
+        w.discovery.change(w.list)
+        assert until(lambda: len(w.discovery.seen) > 2)
+        time.sleep(0.1)
+        before = len(w.servers[0].seen)
+        assert all(rpc(w.at)[0] == 200 for _ in range(6)) and len(w.servers[0].seen) == before
+
+
+def test_what_the_agent_has_is_asked_for_at_the_first_moment_and_after_an_outage(world):
+    """What the gateway knew when it started is old; the agent has had the news since before, and is silent at first."""
+    def silent_at_first(handler, body):
+        if time.monotonic() < back[0]:
+            time.sleep(max(0.0, back[0] - time.monotonic()))
+            handler.close_connection = True     # what was asked meanwhile is never answered
+        else:
+            w.discovery.tell(handler, body)
+
+    w, back = world(echo, echo), [0.0]
+    w.discovery.act = silent_at_first
+    w.discovery.change([w.list[0] | {"state": "removed"}, w.list[1]])
+    with w:
+        assert until(lambda: w.discovery.seen)
+        time.sleep(0.2)
+        before = len(w.servers[0].seen)
+        assert all(rpc(w.at)[0] == 200 for _ in range(6)) and len(w.servers[0].seen) == before
+        back[0] = time.monotonic() + 4.0        # an outage, in which the other one goes and the first is back
+        w.discovery.change([w.list[0], w.list[1] | {"state": "removed"}])
+        time.sleep(4.0 + watches.LONGEST_PAUSE + 0.3)
+        before = len(w.servers[1].seen)
+        assert all(rpc(w.at)[0] == 200 for _ in range(6)) and len(w.servers[1].seen) == before
+
+
+def test_on_an_old_list_servers_that_drain_or_are_gone_get_little(world):
+    """Discovery says nothing any more. What the list still holds for good is judged by what comes from there."""
+    def away(handler, body):
+        handler.reply(503, X_Turned_Away="1")
+
+    with world(echo, echo, away) as w:
+        w.discovery.act = lambda handler, body: time.sleep(30)
+        w.discovery.change(w.list)
+        w.servers[0].shutdown()
+        w.servers[0].server_close()
+        begun, answers = time.monotonic(), []
+        while time.monotonic() < begun + 3:
+            answers.append(rpc(w.at)[0])
+            time.sleep(0.01)
+        w.discovery.act = w.discovery.tell
+    assert len(answers) > 100 and answers.count(200) > 0.97 * len(answers)
+    assert len(w.servers[2].seen) < 0.2 * len(answers)      # one at a time, after a pause of about one answer
