Leases for what one gateway does for all, proven by search and drilled on processes

Need: fleet-wide tasks (allotting reserved capacity, surveying sites) want one holder at any instant, with no disk and no outside store, whatever is lost, late, doubled, cut one way, killed, restarted with nothing or stopped.

Change: oakfork/leases (voter, holder, fence: pure; runner on trio), oakfork/fleet (file with editions, msgspec frames, datagrams), off unless LB_FLEET names a file. In the laboratory: relays, a rig of real processes, schedules from a seed, a witness apart.

The rig found acts that came late by an old view of another's clock.

--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,13 @@
 
 build: .venv/built
 
-.venv/built: requirements.txt requirements-lab.txt requirements-dev.txt pyproject.toml
+.venv/built: requirements.txt requirements-lab.txt requirements-fleet.txt requirements-dev.txt pyproject.toml
 	test -d .venv || $(PYTHON) -m venv .venv
 	.venv/bin/pip -q install -r requirements-dev.txt -e .
 	touch $@
 
 test: build
-	.venv/bin/python -m pytest -q
+	.venv/bin/python -m pytest -q -n 4
 
 lint: build
 	.venv/bin/ruff check oakfork tests
--- a/oakfork/command.py
+++ b/oakfork/command.py
@@ -14,7 +14,17 @@
 import click
 
 from oakfork import __version__
-from oakfork.errors import MISTAKE, WRONG, ConfigurationError, ExperimentError, LoadError, OakforkError, lines
+from oakfork.errors import (
+    MISTAKE,
+    WRONG,
+    ConfigurationError,
+    ExperimentError,
+    FleetError,
+    LoadError,
+    OakforkError,
+    RigError,
+    lines,
+)
 
 
 class Group(click.Group):
@@ -95,12 +105,34 @@
     return MISTAKE if faults else 0
 
 
+@main.group()
+def fleet() -> None:
+    """What gateways do together: leases, and what rests on them (docs/fleet.md)."""
+    _needs("msgspec", what="fleet")
+
+
+def _needs(*names: str, what: str) -> None:
+    missing = [name for name in names if find_spec(name) is None]
+    if missing:
+        _fail(f"this needs more libraries ({', '.join(missing)}): pip install 'oakfork[{what}]'")
+
+
+@fleet.command("check")
+@click.argument("file", type=click.Path(dir_okay=False))
+def fleet_check(file: str) -> None:
+    """Check a fleet file: its edition, or each fault by its path."""
+    from oakfork.fleet.file import read
+    try:
+        told = read(file)
+    except FleetError as error:
+        _refuse(error, file)
+    click.echo(f"{file}: usable, revision {told.edition.revision}, edition {told.edition.digest:016x}")
+
+
 @main.group()
 def lab() -> None:
     """The laboratory: a model of the gateways' world, experiments with it, load on real gateways."""
-    missing = [name for name in ("hdrh", "numpy", "scipy") if find_spec(name) is None]
-    if missing:
-        _fail(f"the laboratory needs more libraries ({', '.join(missing)}): pip install 'oakfork[lab]'")
+    _needs("hdrh", "numpy", "scipy", what="lab")
 
 
 def _experiment(path: str) -> Any:
@@ -213,6 +245,33 @@
     return 0
 
 
+@lab.group("drill")
+def lab_drill() -> None:
+    """Drills on real processes of the program, with relays between them (docs/drills.md)."""
+    _needs("msgspec", "tomli_w", what="drills")
+
+
+@lab_drill.command("leases")
+@click.option("--seed", "seeds", type=int, multiple=True, default=(1,), show_default=True, help="One drill a seed.")
+@click.option("--gateways", type=click.IntRange(3, 64), default=3, show_default=True)
+@click.option("--length-ms", type=click.IntRange(100, 60_000), default=400, show_default=True, help="Of a lease.")
+@click.option("--seconds", type=click.FloatRange(1, 3600), default=5.0, show_default=True)
+@click.option("--keep", type=click.Path(file_okay=False), help="A folder for the record of each drill.")
+def lab_drill_leases(seeds: tuple[int, ...], keep: str | None, **told: Any) -> int:
+    """Kill, stop, cut and delay gateways that take turns at one task; say what the witness saw."""
+    from oakfork.lab.drills import lease_drill
+    broken = 0
+    for seed in seeds:
+        try:
+            drill = lease_drill(seed, keep=Path(keep) if keep else None, **told)
+        except RigError as error:
+            _refuse(error)
+        click.echo(f"seed {seed}: {len(drill.done)} troubles, {drill.acts} acts in {drill.terms} terms, "
+                   f"{sum(drill.refused.values())} refused; " + ("; ".join(drill.faults) or "no overlap, terms grow"))
+        broken += bool(drill.faults)
+    return WRONG if broken else 0
+
+
 @lab.command("load")
 @click.argument("gateways", nargs=-1, required=True)
 @click.option("--rate", type=click.FloatRange(0.1, 20_000), default=50.0, show_default=True, help="RPCs a second.")
--- a/oakfork/errors.py
+++ b/oakfork/errors.py
@@ -24,9 +24,9 @@
     todo = "end the program that has the address, or name another one in the configuration"
 
 
-class ExperimentError(OakforkError):
-    """An experiment file is not usable; each line names a place in it and what is wrong there."""
-    todo = "correct what is named in the experiment file; docs/lab.md has all its keys"
+class FileError(OakforkError):
+    """A file is not usable; `faults` names each place in it and what is wrong there."""
+    todo = "correct what is named in the file"
     status = MISTAKE
 
     def __init__(self, faults: list[str]) -> None:
@@ -34,12 +34,27 @@
         self.faults = faults
 
 
+class ExperimentError(FileError):
+    """An experiment file is not usable; each line names a place in it and what is wrong there."""
+    todo = "correct what is named in the experiment file; docs/lab.md has all its keys"
+
+
+class FleetError(FileError):
+    """The fleet file is not usable, or does not fit the gateway's configuration."""
+    todo = "correct what is named in the fleet file; `oakfork fleet check FILE` tries it, docs/fleet.md has the keys"
+
+
 class LoadError(OakforkError):
     """A load that is not sent."""
     todo = "name gateways by loopback addresses, HOST:PORT, and a load within the bounds of docs/lab.md"
     status = MISTAKE
 
 
+class RigError(OakforkError):
+    """The processes of a drill did not start or did not end as they should."""
+    todo = "look at the last lines of the process's log that it names; free ports and memory for that many processes"
+
+
 class WireError(OakforkError):
     """What came on the simulator's wire can't be read."""
     todo = "report the line: the simulator and the adapter do not agree on the wire"
--- /dev/null
+++ b/oakfork/fleet/codec.py
@@ -0,0 +1,47 @@
+"""Frames between the gateways of a fleet, by msgspec: typed, bounded, and refused as a whole where anything is off.
+
+Measured against `struct` on the messages of leases (experiments/fleet_codec.py): docs/fleet.md.
+"""
+from typing import Any, Sequence
+
+import msgspec
+
+from oakfork.fleet.file import Edition
+from oakfork.leases.messages import Act, Acted, Ask, Clock, Free, Grant, Hello, Number, Refusal, Release, Small
+
+LARGEST = 1200      # bytes of a frame: under what any path carries whole
+MOST = 32           # messages in one
+VERSION = 1
+
+Lease = Ask | Grant | Refusal | Release | Free | Hello | Clock | Act | Acted
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    version: Small
+    sender: Small
+    revision: Number
+    digest: int
+    before: int
+    messages: list[Lease]
+
+    @property
+    def edition(self) -> Edition:
+        return Edition(self.revision, self.digest, self.before)
+
+
+_encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
+
+
+def pack(sender: int, edition: Edition, messages: Sequence[Any]) -> bytes:
+    return _encoder.encode(Frame(VERSION, sender, *edition, list(messages)))
+
+
+def unpack(data: bytes) -> Frame | None:
+    """The frame; None where it is too long, not ours, or not whole."""
+    if len(data) > LARGEST:
+        return None
+    try:
+        frame = _decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+    return frame if frame.version == VERSION and len(frame.messages) <= MOST else None
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -4,12 +4,13 @@
 import signal
 import socket
 import sys
+from typing import TYPE_CHECKING
 
 import structlog
 import trio
 from structlog.stdlib import BoundLogger
 
-from oakfork.errors import AddressTaken, ConfigurationError, told
+from oakfork.errors import AddressTaken, ConfigurationError, FleetError, told
 from oakfork.sockets.clients import Clients
 from oakfork.sockets.configuration import Surroundings, reread
 from oakfork.sockets.counter import Counter
@@ -19,6 +20,9 @@
 from oakfork.sockets.peers import Peers
 from oakfork.sockets.servers import Servers
 
+if TYPE_CHECKING:
+    from oakfork.fleet.part import Part
+
 QUEUE = 1024        # what the keeper has not yet taken; socket tasks wait beyond it, datagrams are lost
 OTHERS = 24         # descriptors for the other parties and the interpreter: twelve were seen, more where lists are read
 ANSWERS = 64        # an answer may take that part of the memory: a third is the program's, few are so large at once
@@ -40,9 +44,13 @@
     try:
         listener = bound(socket.SOCK_STREAM, here.listen)
         datagrams = bound(socket.SOCK_DGRAM, here.peer_listen) if here.peer_listen else None
+        fleet = _fleet(here, log)
     except AddressTaken as error:
         log.error("an address of its own can't be had", **told(error))
         sys.exit(error.status)
+    except FleetError as error:
+        log.error("the fleet file is not usable", **told(error))
+        sys.exit(error.status)
     queue, inbox = trio.open_memory_channel(QUEUE)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
@@ -59,6 +67,8 @@
                 if part is not None:
                     nursery.start_soon(part.run)
             nursery.start_soon(keeper.tick)
+            if fleet:
+                nursery.start_soon(fleet.run)
             nursery.start_soon(clients.sweep)
             log.info("serving", listen="%s:%d" % here.listen)
             async for number in signals:
@@ -67,6 +77,8 @@
                 _turn(discovery, counter, log)
             log.info("leaving", connections=len(clients.open))
             clients.leave()
+            if fleet:
+                nursery.start_soon(fleet.leave)
             await trio.sleep(LINGER)
             clients.accepting.cancel()
             with trio.move_on_after(max(3.0, here.longest_deadline) + MARGIN - LINGER):
@@ -75,6 +87,16 @@
     log.info("left")
 
 
+def _fleet(here: Surroundings, log: BoundLogger) -> "Part | None":
+    """What is done with the other gateways beside the module, where LB_FLEET names a file: nothing of it is imported
+    otherwise, and `run` of the platform names none."""
+    path = os.environ.get("LB_FLEET")
+    if not path:
+        return None
+    from oakfork.fleet.part import Part
+    return Part(path, here.birth.index, log)
+
+
 def _turn(discovery: Discovery, counter: Counter | None, log: BoundLogger) -> None:
     """Goes over to what the configuration names now. One that is not usable changes nothing: the gateway serves on."""
     try:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -11,6 +11,7 @@
 
 from oakfork import format as configuration_format
 from oakfork.command import main
+from oakfork.fleet import file as fleetfile
 from oakfork.lab import experiment as files
 
 
@@ -63,7 +64,8 @@
 
 def test_docs_have_the_formats_as_the_checks_know_them():
     for page, rows in (("configuration.md", configuration_format.table()),
-                       ("lab.md", configuration_format.table(files.SCHEMA))):
+                       ("lab.md", configuration_format.table(files.SCHEMA)),
+                       ("fleet.md", configuration_format.table(fleetfile.SCHEMA))):
         text = (ROOT / "docs" / page).read_text()
         for path, kind, meaning in rows:
             assert f"| `{path}` | {kind} | {meaning} |" in text, (page, path)
