--- a/oakfork/lab/rig.py
+++ b/oakfork/lab/rig.py
@@ -22,6 +22,7 @@
 from oakfork.lab.witness import Witness
 
 WITNESS = "witness"
+PORTS = tuple(map(int, os.environ.get("OAKFORK_RIG_PORTS", "10000-32000").split("-")))     # below what systems give out
 READY = 20.0        # seconds in which a process has to be ready
 
 
@@ -29,7 +30,7 @@
     """Ports below those that the system gives out by itself, so that nothing takes one while its process is down."""
     places: list[tuple[str, int]] = []
     while len(places) < number:
-        place = "127.0.0.1", random.SystemRandom().randrange(10_000, 32_000)
+        place = "127.0.0.1", random.SystemRandom().randrange(*PORTS)
         with socket.socket(socket.AF_INET, kind) as sock, suppress(OSError):
             sock.bind(place)
             if place not in places:
--- a/tests/test_fleet_file.py
+++ b/tests/test_fleet_file.py
@@ -1,6 +1,7 @@
 """The fleet file, frames, and what comes in their name: refused, counted, never believed, never a crash."""
 import copy
 import random
+import socket
 
 import msgspec
 import pytest
@@ -68,7 +69,7 @@
 
 
 def box():
-    told = changed(addresses=[free_port(), "127.0.0.1:7001", "127.0.0.1:7002"])
+    told = changed(addresses=[free_port(socket.SOCK_DGRAM), "127.0.0.1:7001", "127.0.0.1:7002"])
     post, taken = Post(fleetfile.checked(told), 0), []
     post.handlers[Ask] = lambda sender, message: taken.append((sender, message))
     post.sock.close()
