Tell sites apart at the gate: a leg is reserved only where its contract says so

Need: a contract names its sites, but the gate kept one bucket for all of them; only the book told them apart.

Change: a bucket and a dealt part a site; the site of an ordinary RPC's one leg is the book's home. Docstrings of the new packages flow again where lines had been cut by hand.

--- a/oakfork/contracts/book.py
+++ b/oakfork/contracts/book.py
@@ -1,7 +1,6 @@
 """The operators' book of contracts, TOML: checked by a schema, then as a whole: at no instant may what is reserved
-exceed what
-the sites can do with the largest one of them lost. Each fault is named by its path, or by the instant and the
-contracts.
+exceed what the sites can do with the largest one of them lost. Each fault is named by its path, or by the instant and
+the contracts.
 """
 import tomllib
 from dataclasses import dataclass
@@ -38,6 +37,7 @@
     "site": _a("array", "what legs go to", minItems=1, maxItems=MOST_SITES, items=_table("a site", {
         "name": _a("string", "its name", minLength=1, maxLength=64),
         "legs_per_s": _a("number", "what it can do", exclusiveMinimum=0, maximum=1e6),
+        "home": _a("boolean", "it is what discovery lists: where an ordinary RPC's one leg goes; the first if none is"),
     }, "name", "legs_per_s")),
     "contract": _a("array", "what is reserved", maxItems=500, items=_table("a contract", {
         "tenant": _a("string", "whose it is; its name in the log and in figures", minLength=1, maxLength=64),
@@ -89,6 +89,7 @@
 class Book:
     sites: tuple[tuple[str, float], ...]
     contracts: tuple[Contract, ...]
+    home: str               # the site of an ordinary RPC's one leg
 
     @property
     def capacity(self) -> float:
@@ -112,9 +113,11 @@
     if faults := against(SCHEMA, told):
         raise BookError(faults)
     faults = []
+    homes = [site["name"] for site in told["site"] if site.get("home")]
+    faults += [f"site: {' and '.join(homes)} are both home"] if len(homes) > 1 else []
     book = Book(tuple((site["name"], float(site["legs_per_s"])) for site in told["site"]),
                 tuple(_contract(row, f"contract[{number}]", told, faults)
-                      for number, row in enumerate(told.get("contract", ()))))
+                      for number, row in enumerate(told.get("contract", ()))), (homes or [told["site"][0]["name"]])[0])
     names = [name for name, _ in book.sites]
     faults += [f"site: {name!r} stands there twice" for name in dict.fromkeys(names) if names.count(name) > 1]
     owners: dict[int, str] = {}
@@ -160,8 +163,7 @@
 
 def _instants(contracts: Sequence[Contract]) -> Iterator[datetime]:
     """Enough to meet every set of contracts that hold together: each boundary, and the daily beginnings of the day
-    after it
-    (between two boundaries every day is alike)."""
+    after it (between two boundaries every day is alike)."""
     windows = [window for contract in contracts for window in contract.windows]
     boundaries = sorted({window.begins for window in windows} | {window.ends for window in windows})
     hours = sorted({window.daily[0] for window in windows if window.daily})
@@ -177,8 +179,7 @@
 
 def _overbooked(book: Book) -> Iterator[str]:
     """The first instant at which some contracts have more reserved than the sites they may use can do with the
-    largest of
-    all sites lost."""
+    largest of all sites lost."""
     largest = max(rate for _, rate in book.sites)
     losses = [name for name, rate in book.sites if rate == largest]
     unions = [frozenset(chosen) for size in range(1, len(book.sites) + 1)
--- a/oakfork/contracts/dealer.py
+++ b/oakfork/contracts/dealer.py
@@ -1,6 +1,5 @@
 """Deals a contract's parts by recent demand. Pure. What is dealt is advice on who lends to whom: that the parts
-never sum to more
-than the contract does not rest on it (`parts`)."""
+never sum to more than the contract does not rest on it (`parts`)."""
 from typing import Mapping, NamedTuple, Sequence
 
 from oakfork.contracts.parts import LENDABLE
@@ -17,9 +16,8 @@
 
 
 def targets(even: Sequence[int], demand: Mapping[int, int]) -> list[int]:
-    """The part of each gateway; they sum to what the even parts sum to, or a few thousandths less. Who was not heard
-    keeps
-    its even part."""
+    """The part of each gateway; they sum to what the even parts sum to, or a few thousandths less. Who was not
+    heard keeps its even part."""
     floor = [part - part * LENDABLE[0] // LENDABLE[1] for part in even]
     want = [max(low, demand[i] * HEADROOM[0] // HEADROOM[1]) if i in demand else even[i] for i, low in enumerate(floor)]
     whole, wanted = sum(even), sum(want)
--- a/oakfork/contracts/gate.py
+++ b/oakfork/contracts/gate.py
@@ -48,43 +48,44 @@
 
 class Gate:
     """One bucket a tenant, as many as contracts; `open` counts legs that are out. A bucket begins empty: a gateway
-    that starts
-    again grants no second burst."""
+    that starts again grants no second burst."""
 
     def __init__(self, now: int) -> None:
-        self.whole = Bucket(0.0, now)
+        self.sites: dict[int, Bucket] = {}      # as many as sites
         self.buckets: dict[int, Bucket] = {}
         self.open: dict[int, int] = {}
         self.born = now
 
-    def takes(self, now: int, who: int | None, whole: int, tenants: dict[int, Tenant], legs: int = 1) -> Verdict:
-        """One leg or more of one of the `tenants` in force, or of anybody else (None). `whole` is this gateway's
-        part of
-        what the sites can do, in thousandths of a leg a second."""
+    def takes(self, now: int, who: int | None, whole: int, tenants: dict[int, Tenant], legs: int = 1,
+              site: int = 0) -> Verdict:
+        """One leg or more to a site, of one of the `tenants` in force there, or of anybody else (None). `whole` is what
+        the site can do for this gateway, in thousandths of a leg a second."""
         cost = legs * THOUSAND
         margin = sum(tenant.part for tenant in tenants.values()) * BACK / SECOND
-        self.whole.refill(now, whole, margin + max(THOUSAND * 2, whole * BACK / SECOND))
+        there = self.sites.setdefault(site, Bucket(0.0, self.born))
+        there.refill(now, whole, margin + max(THOUSAND * 2, whole * BACK / SECOND))
         tenant = tenants.get(who) if who is not None else None
         if tenant is not None:
             bucket = self.buckets.setdefault(who, Bucket(0.0, self.born))
             bucket.refill(now, tenant.part, max(THOUSAND, tenant.burst * THOUSAND))
             if bucket.tokens >= cost and self.open.get(who, 0) + legs <= tenant.open:
                 bucket.tokens -= cost
-                self.whole.tokens = max(-tenant.burst * THOUSAND - margin, self.whole.tokens - cost)
+                there.tokens = max(-tenant.burst * THOUSAND - margin, there.tokens - cost)
                 self.open[who] = self.open.get(who, 0) + legs
                 return Verdict(True, 0)
-        if self.whole.tokens - cost < margin:       # beyond what is reserved a tenant is as all others are
-            lacks = margin + cost - self.whole.tokens
+        if there.tokens - cost < margin:        # beyond what is reserved a tenant is as all others are
+            lacks = margin + cost - there.tokens
             return Verdict(False, max(1, int(lacks * SECOND / max(1, whole))))
-        self.whole.tokens -= cost
+        there.tokens -= cost
         return Verdict(False, 0)
 
     def over(self, who: int, legs: int = 1) -> None:
         """Reserved legs have ended."""
         self.open[who] = max(0, self.open.get(who, 0) - legs)
 
-    def unsent(self, who: int | None, reserved: bool, legs: int = 1) -> None:
+    def unsent(self, who: int | None, reserved: bool, legs: int = 1, site: int = 0) -> None:
         """Legs that were never sent come back."""
-        self.whole.tokens += legs * THOUSAND
+        if site in self.sites:
+            self.sites[site].tokens += legs * THOUSAND
         if reserved and who in self.buckets:
             self.buckets[who].tokens += legs * THOUSAND
--- a/oakfork/contracts/messages.py
+++ b/oakfork/contracts/messages.py
@@ -1,6 +1,5 @@
 """What gateways say to each other of contracts. Types only; packing is fleet/codec.py's. A contract is named by a
-digest of its
-tenant and place in the book, and what the sites can do in all by 0."""
+digest of its tenant and place in the book, a site by one of its name."""
 from typing import Annotated
 
 import msgspec
--- a/oakfork/contracts/runner.py
+++ b/oakfork/contracts/runner.py
@@ -20,7 +20,6 @@
 from oakfork.leases.lengths import Lengths
 from oakfork.leases.runner import Leases
 
-WHOLE = 0               # the key of what the sites can do in all
 DEAL_EVERY = 0.5        # seconds
 KEPT = 4                # deals are heeded, and demand believed, for so many times that
 LOAN = 20_000           # tenths of a millisecond that a loan is counted by who borrows
@@ -29,7 +28,11 @@
 
 
 def key_of(contract: Contract, place: int) -> int:
-    return zlib.crc32(f"{contract.tenant}/{place}".encode()) or 1
+    return zlib.crc32(f"{contract.tenant}/{place}".encode())
+
+
+def key_of_site(name: str) -> int:
+    return zlib.crc32(f"site/{name}".encode())
 
 
 class Contracts:
@@ -46,7 +49,8 @@
         self.out: dict[int, tuple[int, int, int]] = {}      # an asking -> key, lender, when; dropped after LOAN
         self.number = 0
         self.ready, self.most = 0, 0                # servers that are listed as ready; the most so far
-        self.looked, self.force = -FRESH, {}        # when what is in force was looked up
+        # When what is in force was looked up, and that: by site what it can do here, and whose windows hold there.
+        self.looked, self.force = -FRESH, {}
         self.take(read(path))
         for kind, handler in ((Dealt, self._dealt), (Demand, self._demand), (Borrow, self._borrow), (Lent, self._lent)):
             post.handlers[kind] = handler
@@ -60,7 +64,8 @@
         for key, contract in self.keys.items():
             for customer in contract.customers:
                 self.owners.setdefault(customer, []).append(key)
-        rates = {key: contract.rate for key, contract in self.keys.items()} | {WHOLE: book.capacity}
+        self.home = key_of_site(book.home)
+        rates = self.rates()
         for key in [key for key in self.parts if key not in rates]:
             del self.parts[key]
         for key, rate in rates.items():
@@ -69,6 +74,11 @@
                 parts.started(even, now, self.lengths)
         self.looked = -FRESH
 
+    def rates(self) -> dict[int, float]:
+        """What is dealt: each contract, and what each site can do."""
+        return {key: contract.rate for key, contract in self.keys.items()} | {
+            key_of_site(name): rate for name, rate in self.book.sites}
+
     def reread(self) -> None:
         """On SIGHUP. A book that is not usable changes nothing."""
         try:
@@ -80,30 +90,41 @@
 
     # The gate
 
-    def in_force(self, now: int) -> tuple[int, dict[int, Tenant]]:
-        """What the sites can do here, and the tenants whose window holds."""
+    def in_force(self, now: int) -> dict[int, tuple[int, dict[int, Tenant]]]:
+        """By site: what it can do here, and the tenants that may use it and whose window holds."""
         if now >= self.looked + FRESH:
             instant, self.looked = datetime.now(UTC), now
-            able = self.ready / self.most if self.most else 1.0
-            whole = int(self.parts[WHOLE].now(now) * able)
             held = {key: contract for key, contract in self.keys.items() if contract.holds(instant)}
             tenants = {key: Tenant(self.parts[key].now(now), contract.burst / self.gateways,
                                    contract.open // self.gateways + (self.me < contract.open % self.gateways),
                                    contract.goes) for key, contract in held.items()}
-            self.force = whole, fitting(tenants, whole)
+            self.force = {}
+            for name, _ in self.book.sites:
+                site = key_of_site(name)
+                able = self.ready / self.most if site == self.home and self.most else 1.0
+                whole = int(self.parts[site].now(now) * able)
+                there = {key: tenant for key, tenant in tenants.items() if name in held[key].sites}
+                self.force[site] = whole, fitting(there, whole)
         return self.force
 
-    def arrives(self, customer: int, legs: int = 1) -> tuple[int | None, Verdict]:
-        """Whether legs of that customer may go now, and the contract that they are reserved by."""
-        now = clock()
-        whole, tenants = self.in_force(now)
+    def arrives(self, customer: int, legs: int = 1, site: int | None = None) -> tuple[int | None, Verdict]:
+        """Whether legs of that customer may go to that site (home if none) now, and what contract reserves them."""
+        now, site = clock(), self.home if site is None else site
+        whole, tenants = self.in_force(now)[site]
         who = next((key for key in self.owners.get(customer, ()) if key in tenants), None)
-        self.asked[WHOLE] += legs
+        self.asked[site] += legs
         if who is not None:
             self.asked[who] += legs
-        verdict = self.gate.takes(now, who, whole, tenants, legs)
+        verdict = self.gate.takes(now, who, whole, tenants, legs, site)
         return (who if verdict.reserved else None), verdict
 
+    def over(self, contract: int | None, sent: bool) -> None:
+        """An ordinary RPC's leg has ended; one that was never sent comes back."""
+        if contract is not None:
+            self.gate.over(contract)
+        if not sent:
+            self.gate.unsent(contract, contract is not None, site=self.home)
+
     def listed(self, ready: int) -> None:
         self.ready, self.most = ready, max(self.most, ready)
         self.looked = -FRESH
@@ -135,7 +156,7 @@
                 continue
             since = clock() - round(KEPT * DEAL_EVERY * 10_000)
             self.heard = {gateway: told for gateway, told in self.heard.items() if told[0] > since}
-            rates = {key: contract.rate for key, contract in self.keys.items()} | {WHOLE: self.book.capacity}
+            rates = self.rates()
             deals: list[list[Any]] = [[] for _ in range(self.gateways)]
             for key, rate in rates.items():
                 even = [parts.even_part(rate, gateway, self.gateways) for gateway in range(self.gateways)]
--- a/oakfork/lab/contractdrill.py
+++ b/oakfork/lab/contractdrill.py
@@ -1,6 +1,5 @@
-"""Contracts on real processes: a tenant asks for what is reserved, all others for three times what the sites can do,
-and things
-go wrong meanwhile. Measured from the clients' side alone: what the tenant got in each second."""
+"""Contracts on real processes: a tenant asks for what is reserved, all others for three times what the sites can
+do, and things go wrong meanwhile. Measured from the clients' side alone: what the tenant got in each second."""
 import tempfile
 from collections import Counter
 from dataclasses import dataclass
@@ -59,9 +58,8 @@
     others_ok: list[int]
 
     def shares(self) -> list[float]:
-        """What the tenant got in each second of what it asked for inside what is reserved, without the first seconds
-        and
-        the first one after the fault."""
+        """What the tenant got in each second of what it asked for inside what is reserved, without the first
+        seconds and the first one after the fault."""
         return [min(1.0, ok / min(asked, RESERVED)) for second, (asked, ok) in
                 enumerate(zip(self.tenant_asked, self.tenant_ok, strict=True))
                 if second >= 2 and asked and second not in (self.fault_at, self.fault_at + 1)]
@@ -72,7 +70,7 @@
 
 
 def book(index: int) -> dict[str, Any]:
-    return {"site": [{"name": f"site-{n}", "legs_per_s": CAPACITY / 3} for n in range(3)],
+    return {"site": [{"name": "here", "legs_per_s": CAPACITY, "home": True}, {"name": "there", "legs_per_s": CAPACITY}],
             "contract": [{"tenant": "tenant", "customers": [f"{0:016x}"], "legs_per_s": RESERVED, "burst": 24,
                           "open": 60, "goes": 0,
                           "window": [{"from": "2020-01-01T00:00:00Z", "until": "2099-01-01T00:00:00Z"}]}]}
--- a/oakfork/lab/contractmodel.py
+++ b/oakfork/lab/contractmodel.py
@@ -1,6 +1,5 @@
 """One contract in simulated time at sizes that processes don't reach: fixed even parts, parts dealt and lent, or an
-owner that is
-asked for each leg. Times are whole tenths of a millisecond.
+owner that is asked for each leg. Times are whole tenths of a millisecond.
 
 The allotter's lease is taken as given but for a time without one after it is killed (measured in docs/leases.md).
 """
--- a/oakfork/lab/leasemodel.py
+++ b/oakfork/lab/leasemodel.py
@@ -1,6 +1,5 @@
-"""Leases in simulated time, for sizes and lengths of time that processes don't reach: the same machines, links that
-lose and
-delay, voters that restart, holders that are killed. Times are whole tenths of a millisecond."""
+"""Leases in simulated time, for sizes and lengths of time that processes don't reach: the same machines, links
+that lose and delay, voters that restart, holders that are killed. Times are whole tenths of a millisecond."""
 import sys
 from dataclasses import dataclass
 from typing import Any
--- a/oakfork/leases/holder.py
+++ b/oakfork/leases/holder.py
@@ -103,8 +103,7 @@
 def _given_up(one: Contender, now: int, lengths: Lengths, task: int, chance: float,
               wait: int) -> tuple[Contender, Said]:
     """Gives votes back that were no majority, and waits: as long as a voter said, and by chance up to a time that
-    doubles
-    from the patience to the lease, so that contenders don't duel."""
+    doubles from the patience to the lease, so that contenders don't duel."""
     spread = min(lengths.lease, lengths.patience << min(one.failed, 8))
     return one._replace(round=one.round + 1, asked=False, grants=frozenset(), refusals=frozenset(),
                         failed=one.failed + 1, wake=now + wait + 1 + int(chance * spread)), _release(one, task)
--- a/oakfork/leases/runner.py
+++ b/oakfork/leases/runner.py
@@ -52,9 +52,8 @@
         return one.term if one is not None else 0
 
     def may_act(self, task: str, upon: Any) -> tuple[int, int, int] | None:
-        """The term, the life of what is acted upon and the act's end on its clock; None where it may not act now, or
-        does
-        not know that clock yet (then it has asked)."""
+        """The term, the life of what is acted upon and the act's end on its clock; None where it may not act now,
+        or does not know that clock yet (then it has asked)."""
         number = TASKS.index(task)
         one, now = self.ones.get(number), clock()
         if one is None or not one.holds(now):
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -203,10 +203,7 @@
         """Its leg is over; one that was never sent comes back."""
         if self.contracts and exchange.taken:
             exchange.taken = False
-            if exchange.contract is not None:
-                self.contracts.gate.over(exchange.contract)
-            if not exchange.sent:
-                self.contracts.gate.unsent(exchange.contract, exchange.contract is not None)
+            self.contracts.over(exchange.contract, exchange.sent > 0)
 
     def _send(self, rpc: int, server: int, until: int) -> None:
         ticket = self.door.tickets[rpc]
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -1,15 +1,23 @@
 """Contracts: the book, parts that never sum to more than the whole, dealing by demand, and the gate."""
 import copy
+import socket
 from datetime import UTC, datetime
 
 import pytest
+import structlog
+import tomli_w
 from hypothesis import given, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from standins import free_port
 
-from oakfork.contracts import book as books, dealer, parts
+from oakfork.contracts import book as books, dealer, parts, runner
 from oakfork.contracts.gate import BACK, SECOND, Gate, Tenant, fitting
+from oakfork.contracts.runner import Contracts, key_of_site
 from oakfork.errors import BookError
+from oakfork.fleet import file as fleetfile
+from oakfork.fleet.post import Post
 from oakfork.leases.lengths import Lengths
+from oakfork.leases.runner import Leases
 
 WINDOW = {"from": "2027-01-01T00:00:00Z", "until": "2027-03-01T00:00:00Z"}
 BOOK = {"site": [{"name": name, "legs_per_s": 100.0} for name in ("hai-phong", "cai-mep", "can-tho")],
@@ -42,6 +50,7 @@
 @pytest.mark.parametrize("told, place", [
     (changed(contract__0__legs_per_s=81.0), "contract: at 2027-01-01T00:00:00+00:00 gemadept, viconship have 201"),
     (changed(contract__1__sites=["can-tho", "cai-mep"], contract__1__legs_per_s=101.0), "contract: at 2027-01-01"),
+    (changed(site=[{"name": n, "legs_per_s": 100.0, "home": True} for n in "ab"]), "site: a and b"),
     (changed(contract__1__sites=["nowhere"]), "contract[1].sites"), (changed(contract__0__goes=-1), "contract[0].goes"),
     (changed(contract__1__customers=["00000000000000a1"]), "contract[1].customers"),
     (changed(contract__0__window=[{"from": "2027-01-01T00:00:00", "until": "2027-02-01T00:00:00Z"}]),
@@ -227,3 +236,44 @@
     tenants = {1: Tenant(10_000, 1, 1, 5), 2: Tenant(10_000, 1, 1, 0), 3: Tenant(10_000, 1, 1, 9)}
     assert {key: tenant.part for key, tenant in fitting(tenants, 15_000).items()} == {1: 5_000, 2: 10_000, 3: 0}
     assert fitting(tenants, 40_000) == tenants
+
+
+def test_sites_are_told_apart():
+    """Guards against one bucket for all sites: what is taken at one must not be missing at another."""
+    gate, here, there = Gate(0), 1, 2
+    tenants = {7: Tenant(10_000, 5, 9, 0)}
+    assert gate.takes(SECOND, 7, 20_000, tenants, site=here).reserved
+    assert not gate.takes(SECOND, 7, 20_000, {}, site=there).reserved
+    for _ in range(40):
+        gate.takes(SECOND, None, 20_000, tenants, site=here)
+    assert gate.takes(SECOND, None, 20_000, tenants, site=here).wait
+    assert not gate.takes(SECOND, None, 20_000, {}, site=there).wait
+
+
+def contracts(tmp_path, **more):
+    path = tmp_path / "book.toml"
+    always = [{"from": "2020-01-01T00:00:00Z", "until": "2099-01-01T00:00:00Z"}]
+    path.write_bytes(tomli_w.dumps(changed(contract__0__window=always, contract__1__window=always, **more)).encode())
+    file = fleetfile.checked({"revision": 1, "addresses": [free_port(socket.SOCK_DGRAM), "127.0.0.1:1", "127.0.0.1:2"],
+                              "leases": {"voters": [0], "length_ms": 300, "act_ms": 50, "drift_permille": 10}})
+    post = Post(file, 0)
+    post.sock.close()
+    return Contracts(str(path), file, 0, post, Leases(file, 0, post, structlog.get_logger()), structlog.get_logger())
+
+
+def test_a_gateway_uses_its_part_at_the_sites_of_the_contract_and_what_the_ready_servers_can_do(tmp_path, monkeypatch):
+    one = contracts(tmp_path, contract__1__sites=["cai-mep", "can-tho"], contract__1__legs_per_s=90.0)
+    home, other = key_of_site("hai-phong"), key_of_site("cai-mep")
+    now = runner.clock() + 60 * SECOND
+    monkeypatch.setattr(runner, "clock", lambda: now)
+    force = one.in_force(now)
+    gemadept, viconship = one.keys
+    assert set(force[home][1]) == {gemadept} and set(force[other][1]) == {gemadept, viconship}
+    assert force[home][0] == pytest.approx(100_000 / 3, abs=1) and force[home][1][gemadept].part == 26_667
+    one.listed(9)
+    one.listed(6)       # a third of the servers at home are gone
+    assert one.in_force(now)[home][0] == pytest.approx(200_000 / 9, abs=1)
+    assert one.in_force(now)[other][0] == pytest.approx(100_000 / 3, abs=1)
+    contract, verdict = one.arrives(0xB1)       # an ordinary RPC goes home, where viconship has nothing reserved
+    assert contract is None and not verdict.reserved
+    assert one.arrives(0xB1, site=other)[0] == viconship
