Read TOML files in one place, and take the laboratory's intervals where they stand

Need: the last read of the change found the same nine lines in three readers of files, and an interval written twice.

Change: format.read_toml serves experiments, fleet files and books; the experiments use compare.interval.

--- a/experiments/contract_model.py
+++ b/experiments/contract_model.py
@@ -9,6 +9,7 @@
 import numpy
 from scipy import stats
 
+from oakfork.lab.compare import interval
 from oakfork.lab.contractmodel import WAYS, Model, Result
 
 SEEDS, SECONDS, RATE = 8, 30, 400.0
@@ -19,10 +20,9 @@
     return Model(way, gateways, RATE, loss, seed, kill_at).run(SECONDS)
 
 
-def interval(values: list[float]) -> str:
-    mean = float(numpy.mean(values))
-    half = float(stats.t.ppf(0.975, len(values) - 1) * stats.sem(values)) if len(set(values)) > 1 else 0.0
-    return f"{mean:.3f} +- {half:.3f}"
+def told(values: list[float]) -> str:
+    mean, low, high = interval(values)
+    return f"{mean:.3f} ({low:.3f} to {high:.3f})"
 
 
 def main() -> None:
@@ -34,10 +34,10 @@
                     results = list(pool.map(play, [(way, gateways, loss, seed, kill_at) for seed in range(SEEDS)]))
                     rows[gateways, loss, kill_at, way] = results
                     print(f"{gateways} gateways, {loss:.0%} lost{', allotter or owner dead for 4 s' * bool(kill_at)}, "
-                          f"{way}: got {interval([r.got for r in results])} of what is reserved, "
-                          f"seconds kept {interval([r.seconds_kept for r in results])}, "
+                          f"{way}: got {told([r.got for r in results])} of what is reserved, "
+                          f"seconds kept {told([r.seconds_kept for r in results])}, "
                           f"over {max(r.over for r in results):.3f}, "
-                          f"frames a second {interval([r.frames for r in results])}, "
+                          f"frames a second {told([r.frames for r in results])}, "
                           f"waited {numpy.mean([r.waited for r in results]):.2f} ms, "
                           f"state {max(r.state_bytes for r in results) / gateways:.0f} bytes a gateway", flush=True)
     if len(sys.argv) > 1:
--- a/experiments/lease_model.py
+++ b/experiments/lease_model.py
@@ -8,6 +8,7 @@
 import numpy
 from scipy import stats
 
+from oakfork.lab.compare import interval
 from oakfork.lab.leasemodel import Fleet, Result
 
 SEEDS, SECONDS, KILL_EVERY = 16, 600, 30 * 10_000
@@ -17,10 +18,9 @@
     return Fleet(*job).run(SECONDS, KILL_EVERY)
 
 
-def interval(values: list[float]) -> str:
-    mean = float(numpy.mean(values))
-    half = float(stats.t.ppf(0.975, len(values) - 1) * stats.sem(values)) if len(set(values)) > 1 else 0.0
-    return f"{mean:.3f} +- {half:.3f}"
+def told(values: list[float]) -> str:
+    mean, low, high = interval(values)
+    return f"{mean:.3f} ({low:.3f} to {high:.3f})"
 
 
 def main() -> None:
@@ -33,9 +33,9 @@
             waits = [wait for result in results for wait in result.waits]
             rows[point] = results
             print(f"{point[0]} gateways, {point[1]} voters, {point[2]:.0%} lost: frames a second "
-                  f"{interval([r.frames for r in results])}, "
+                  f"{told([r.frames for r in results])}, "
                   f"of a watcher {max(r.frames_of_a_watcher for r in results):g}, "
-                  f"held {interval([r.held for r in results])}, overlaps {sum(r.overlaps for r in results)}, "
+                  f"held {told([r.held for r in results])}, overlaps {sum(r.overlaps for r in results)}, "
                   f"wait after a kill p50 {numpy.quantile(waits, 0.5):.2f} s p99 {numpy.quantile(waits, 0.99):.2f} s "
                   f"({len(waits)}), state {max(r.state_bytes for r in results)} bytes", flush=True)
     if len(sys.argv) > 1:
--- a/oakfork/contracts/book.py
+++ b/oakfork/contracts/book.py
@@ -2,7 +2,6 @@
 exceed what the sites can do with the largest one of them lost. Each fault is named by its path, or by the instant and
 the contracts.
 """
-import tomllib
 from dataclasses import dataclass
 from datetime import UTC, date, datetime, time, timedelta
 from itertools import combinations
@@ -10,7 +9,7 @@
 from typing import Any, Iterator, Sequence
 
 from oakfork.errors import BookError
-from oakfork.format import against
+from oakfork.format import against, read_toml
 
 LARGEST_FILE = 1024 * 1024
 MOST_SITES = 10         # all unions of sites are looked at
@@ -98,15 +97,7 @@
 
 def read(path: str | Path) -> Book:
     """Reads and checks; raises BookError with every fault."""
-    try:
-        with open(path, "rb") as file:
-            text = file.read(LARGEST_FILE + 1)
-        if len(text) > LARGEST_FILE:
-            raise BookError([f"the file: over {LARGEST_FILE} bytes"])
-        told = tomllib.loads(text.decode())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError) as error:
-        raise BookError([f"the file: {error}"]) from None
-    return checked(told)
+    return checked(read_toml(path, LARGEST_FILE, BookError)[0])
 
 
 def checked(told: dict[str, Any]) -> Book:
--- a/oakfork/fleet/file.py
+++ b/oakfork/fleet/file.py
@@ -6,13 +6,12 @@
 """
 import hashlib
 import json
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from oakfork.errors import FleetError
-from oakfork.format import ADDRESS, against
+from oakfork.format import ADDRESS, against, read_toml
 from oakfork.leases.lengths import Lengths
 from oakfork.sockets.configuration import Address, address
 
@@ -89,15 +88,7 @@
 
 def read(path: str | Path) -> FleetFile:
     """Reads and checks; raises FleetError with every fault by its path."""
-    try:
-        with open(path, "rb") as file:
-            text = file.read(LARGEST_FILE + 1)
-        if len(text) > LARGEST_FILE:
-            raise FleetError([f"the file: over {LARGEST_FILE} bytes"])
-        told = tomllib.loads(text.decode())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError) as error:
-        raise FleetError([f"the file: {error}"]) from None
-    return checked(told)
+    return checked(read_toml(path, LARGEST_FILE, FleetError)[0])
 
 
 def checked(told: dict[str, Any]) -> FleetFile:
--- a/oakfork/format.py
+++ b/oakfork/format.py
@@ -5,8 +5,12 @@
 adds some.
 """
 import math
+import tomllib
+from pathlib import Path
 from typing import Any, Iterable
 
+from oakfork.errors import FileError
+
 ADDRESS = {"type": "string", "pattern": r"^[^\s:]+:\d{1,5}$"}
 
 
@@ -98,6 +102,18 @@
 }, "listen", "discovery", "settings")
 
 
+def read_toml(path: str | Path, largest: int, refuse: type[FileError]) -> tuple[dict[str, Any], bytes]:
+    """What a TOML file says, and its bytes, at most `largest`; raises `refuse` where it can't be read."""
+    try:
+        with open(path, "rb") as file:
+            text = file.read(largest + 1)
+        if len(text) > largest:
+            raise refuse([f"the file: over {largest} bytes"])
+        return tomllib.loads(text.decode()), text
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError) as error:
+        raise refuse([f"the file: {error}"]) from None
+
+
 def place(path: Iterable[str | int]) -> str:
     return "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in path).lstrip(".") or "the file"
 
--- a/oakfork/lab/experiment.py
+++ b/oakfork/lab/experiment.py
@@ -5,14 +5,13 @@
 import hashlib
 import itertools
 import json
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Iterator
 
 from oakfork.birth import tenths
 from oakfork.errors import ExperimentError
-from oakfork.format import against
+from oakfork.format import against, read_toml
 from oakfork.interface import SECOND, Repeat
 from oakfork.lab import plan
 from oakfork.lab.policies import POLICIES
@@ -254,14 +253,7 @@
 
 def read(path: str | Path) -> Experiment:
     """Reads and checks a file; raises ExperimentError with all that is wrong."""
-    try:
-        with open(path, "rb") as file:
-            text = file.read(LARGEST_FILE + 1)
-        if len(text) > LARGEST_FILE:
-            raise ExperimentError([f"the file: over {LARGEST_FILE} bytes"])
-        told = tomllib.loads(text.decode())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError) as error:
-        raise ExperimentError([f"the file: {error}"]) from None
+    told, text = read_toml(path, LARGEST_FILE, ExperimentError)
     return checked(told, hashlib.sha256(text).hexdigest())
 
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -21,10 +21,13 @@
 
 
 def _raised(tree):
-    """The names of all types raised; `raise` alone and `raise error` pass on what is there."""
+    """The names of all types raised; `raise` alone and `raise error` pass on what is there; an argument of `type[X]` is
+    an X."""
     caught = {handler.name for handler in ast.walk(tree) if isinstance(handler, ast.ExceptHandler)}
+    given = {arg.arg: arg.annotation.slice.id for arg in ast.walk(tree) if isinstance(arg, ast.arg)
+             and isinstance(arg.annotation, ast.Subscript) and ast.unparse(arg.annotation).startswith("type[")}
     names = [_name(node.exc) for node in ast.walk(tree) if isinstance(node, ast.Raise) and node.exc is not None]
-    return [name for name in names if name not in caught]
+    return [given.get(name, name) for name in names if name not in caught]
 
 
 @pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
@@ -39,6 +42,7 @@
 def test_an_error_without_a_text_is_found():
     """Guards against a test that passes whatever is raised."""
     assert _raised(ast.parse("raise ValueError('x')")) == ["ValueError"]
+    assert _raised(ast.parse("def f(kind: type[ValueError]):\n  raise kind('x')")) == ["ValueError"]
     assert _raised(ast.parse("try:\n  pass\nexcept OSError as e:\n  raise e\nraise lab.LoadError")) == ["LoadError"]
 
 
