Close clients' connections by a lingering close, and answer a request sent anew where it waits

Change: half-close, then read and throw away for a second at most; lingering connections count among the clients' and make room first; the backlog is taken before the listener closes; a flood behind an RPC is read and thrown away, 64 KiB each 10 ms, and its connection ends with the answer; after SIGTERM connections of which a request may be on its way have a quarter of a second; the same request sent anew shares the RPC and its answer (another one under that id still gets 409: the test names more of those than before). The keeper goes on where what it is told of one RPC fails.

--- a/oakfork/sockets/clients.py
+++ b/oakfork/sockets/clients.py
@@ -1,6 +1,7 @@
 """The clients' side: takes connections in, reads RPCs, writes answers."""
 import contextlib
 import errno
+import itertools
 import socket
 from typing import Any, Awaitable, Callable
 
@@ -19,13 +20,16 @@
 SPARED = 0.25       # seconds that a connection stays open after its start or last answer, if there is room or not
 PATIENCE = 2.0      # seconds for a whole request once begun or connected
 IDLE = 2.0          # seconds that a connection stays open after its last answer: some clients hold theirs for good
+LINGERING = 1.0     # seconds that a half-closed connection is still read, so that no reset overtakes its last answer
+LULL = 0.01         # seconds between reads of what is thrown away: 6 MB/s of it at most from one client
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))    # whose answers have plain bodies
 PLAIN_STATUS = {Ending.MALFORMED: 400, Ending.OVERSIZED: 413, Ending.SILENT: 408}
 
 
 class Clients:
-    """All connections of clients, `most` at a time; others wait to be accepted. Over three quarters of that idle ones
-    make room, and at the bound an answer is its connection's last."""
+    """All connections of clients, `most` at a time, those that linger at their close among them; others wait to be
+    accepted. Over three quarters of that lingering and idle ones make room, and at the bound an answer is its
+    connection's last."""
 
     def __init__(self, here: Surroundings, sock: socket.socket, most: int, queue: trio.MemorySendChannel[Told],
                  nursery: trio.Nursery, log: BoundLogger) -> None:
@@ -34,7 +38,8 @@
         self.leaving = self.full = self.shut = False    # shut: no connection is taken any more
         self.open: set[Client] = set()
         self.idle: dict[Client, float] = {}     # of those, with nothing begun: since when, the longest first
-        self.ids: set[bytes] = set()            # of the RPCs that are not answered yet
+        self.lingering: dict[Client, None] = {}     # of those, half-closed by us, the first one first
+        self.ids: dict[bytes, Exchange] = {}    # the RPCs that are not answered yet
         self.empty = trio.Event()       # set once it is shut and all connections are closed
         self.accepting = trio.CancelScope()
         self.sock = sock
@@ -49,17 +54,24 @@
                         self.log.warning("no room for a client", connections=len(self.open))
                     self.full = True
                     while len(self.open) >= self.most:
-                        self._close_idle(SPARED, 1)
+                        self._make_room(1 + self.most // 16)
                         await trio.sleep(0.02)
-                try:
-                    while len(self.open) < self.most:
-                        self._take_in(self.sock.accept()[0])
-                except OSError as error:
-                    if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                        await trio.sleep(0.02)      # until others have closed theirs
+                if self._accept() in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
+                    await trio.sleep(0.02)      # until others have closed theirs
+        # Guards against connections that the system has accepted and the close of the listener would reset.
+        self._accept()
         self.sock.close()
         self.shut = True
-        self.leave()
+        self.left(None)
+
+    def _accept(self) -> int | None:
+        """Takes in all that wait, as far as there is room; the number of the error that ended it."""
+        try:
+            while len(self.open) < self.most:
+                self._take_in(self.sock.accept()[0])
+        except OSError as error:
+            return error.errno
+        return None
 
     def _take_in(self, sock: socket.socket) -> None:
         try:
@@ -70,9 +82,16 @@
         self.open.add(client)
         self.idle[client] = client.since
         if len(self.open) > self.many:
-            self._close_idle(SPARED, 1)
+            self._make_room(1)
         self.start(client.serve)
 
+    def _make_room(self, most: int) -> None:
+        """Ends those that linger longest, and has those that are idle longest linger."""
+        for client in list(itertools.islice(self.lingering, most)):
+            del self.lingering[client]
+            client.scope.cancel()
+        self._close_idle(SPARED, most)
+
     def start(self, task: Callable[..., Awaitable[None]], *args: Any) -> None:
         self.nursery.start_soon(self._guarded, task, *args)
 
@@ -99,17 +118,18 @@
         """Guards against memory and descriptors that grow with the clients ever seen."""
         while True:
             await trio.sleep(SPARED)
-            self._close_idle(IDLE, self.most)
+            self._close_idle(SPARED if self.leaving else IDLE, self.most)
 
     def leave(self) -> None:
-        """From now on each answer is its connection's last, and idle connections close."""
+        """From now on each answer is its connection's last, and idle connections close, but for those of which the
+        first or next request may be on its way: these have SPARED, and the sweep closes them."""
         self.leaving = True
-        self._close_idle(0.0, self.most)
-        self.left(None)
+        self._close_idle(SPARED, self.most)
 
     def left(self, client: "Client | None") -> None:
         self.open.discard(client)
         self.idle.pop(client, None)
+        self.lingering.pop(client, None)
         self.full = self.full and len(self.open) >= self.many
         # Guards against leaving while RPCs are out that came after a moment without any connection: at a gateway
         # that few clients use, that is the rule.
@@ -125,40 +145,89 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.all = all_clients
         self.link = Link(sock, h11.SERVER)
-        self.scope = trio.CancelScope()     # cancelled when the connection is to be closed
+        self.scope = trio.CancelScope()     # cancelled when the connection is to be closed, or is to linger no more
         self.fresh = True       # nothing whole has come on it
         self.exchange: Exchange | None = None   # not answered yet
         self.since = trio.current_time()    # its start or last answer
         self.behind = False     # the end of an answer is still being written
         self.caught_up = trio.Event()
+        self.flooded = False    # it sent so much behind an RPC that the rest is thrown away
 
     async def serve(self) -> None:
+        gone = False
         try:
-            with self.scope:
-                while True:
-                    if self.link.buffered > LARGEST_BODY and self._busy():
-                        self.caught_up = trio.Event()   # it sends on without an answer: no more is taken for now
-                        await self.caught_up.wait()
-                    if not await self.link.fill() and (self.exchange or not self.link.buffered):
-                        break
-                    self._go_on()
-            if self.link.buffered and trio.current_time() >= self.scope.deadline:
-                self._write(Answer(PLAIN_STATUS[Ending.SILENT]))
+            while not gone:
+                with self.scope:
+                    await self._receive()
+                    gone = True
+                if not gone and (self.scope.deadline > trio.current_time() or not self._last_look()):
+                    break
         except Break:
-            pass    # the client is gone
+            gone = True
         finally:
-            trio.lowlevel.notify_closing(self.link.sock)
-            self.link.close()
-            if self.exchange:
-                self.all.ids.discard(self.exchange.id)
-                tell(self.all.queue, Left(self.exchange))
-            self.all.left(self)
+            self.all.idle.pop(self, None)
+            if self.exchange:   # it has gone from here on, before anything else is done
+                self.exchange.waiting.remove(self._answer)
+                if not self.exchange.waiting:
+                    del self.all.ids[self.exchange.id]
+                    tell(self.all.queue, Left(self.exchange))
+                self.exchange = None
+            try:
+                if not gone:
+                    await self._linger()
+            finally:
+                trio.lowlevel.notify_closing(self.link.sock)
+                self.link.close()
+                self.all.left(self)
+
+    async def _receive(self) -> None:
+        """Takes requests until the client ends its sending: it has gone then (PROTOCOL), whatever is half there."""
+        while True:
+            if self.link.buffered > LARGEST_BODY and self.exchange:
+                # Guards against not seeing a client that sends much at once go: its RPC would be sent on.
+                self.flooded = True
+                if not await self.link.discard(LULL):
+                    return
+                continue
+            if self.link.buffered > LARGEST_BODY and self.behind:
+                self.caught_up = trio.Event()   # it sends on and does not read: no more is taken for now
+                await self.caught_up.wait()
+            if not await self.link.fill():
+                return
+            self._go_on()
+
+    def _last_look(self) -> bool:
+        """A request was begun and did not come whole in time. Unless its last bytes came in this very instant it gets
+        408. Whether there is more to receive."""
+        self.scope = trio.CancelScope()
+        if self.link.fill_at_once():
+            self._go_on()
+        if self.scope.cancel_called:
+            return False
+        if self.link.buffered and not self._busy():
+            self._write(Answer(PLAIN_STATUS[Ending.SILENT], last=True))
+            return False
+        return True
+
+    async def _linger(self) -> None:
+        """Lingering close (RFC 9112, 9.6): half-closes, and reads and throws away until the client ends its side too.
+        Guards against the reset that a close over unread bytes sends: it can destroy the answer written just before.
+        What is read here is never sent on: for the client the close crossed its request, which it sends anew."""
+        if self.behind:     # an answer is still being written, within a time of its own
+            self.caught_up = trio.Event()
+            await self.caught_up.wait()
+        self.link.end_sending()
+        self.scope = trio.CancelScope(deadline=trio.current_time() + LINGERING)
+        self.all.lingering[self] = None
+        with self.scope, contextlib.suppress(Break):
+            while await self.link.discard(LULL):
+                pass
 
     def _busy(self) -> bool:
         return self.exchange is not None or self.behind
 
     def leave_if_idle(self) -> bool:
-        """Closes the connection unless something has come that is not answered, read or not."""
+        """Has the connection close unless something has come that is not answered, read or not."""
         idle = not self._busy() and not self.link.buffered and self.link.lively()
         if idle:
             self.scope.cancel()
@@ -178,7 +247,7 @@
                 self._write(Answer(PLAIN_STATUS[end.ending]))
             self.scope.cancel()
             return
-        if self.link.buffered and not self.exchange:
+        if self.link.buffered and not self._busy():
             if self.scope.deadline == float("inf"):
                 self.all.idle.pop(self, None)
                 self.scope.deadline = (self.since if self.fresh else trio.current_time()) + PATIENCE
@@ -200,15 +269,19 @@
                 # Guards against bad requests by the hundred: one is answered, what stands behind it is never read.
                 self._write(Answer(400, str(error).encode() + b"\n", b"text/plain", last=True))
                 return
-            if exchange.id in self.all.ids:     # another client's: a server would take it for a second copy
+            self.exchange = self.all.ids.setdefault(exchange.id, exchange)
+            if self.exchange is exchange:
+                tell(self.all.queue, Came(exchange))
+            elif self.exchange.same(exchange):
+                # Guards against a close that crossed the request: the client sends it anew while it is still held
+                # here. It runs once, and its answer goes to each connection that still waits.
+                self.exchange.waiting.append(self._answer)
+            else:       # another request under that id: a server would take it for a second copy
+                self.exchange = None
                 self._write(Answer(409, last=True))
-                return
-            self.all.ids.add(exchange.id)
-            self.exchange = exchange
-            tell(self.all.queue, Came(exchange))
 
     def _answer(self, answer: Answer) -> None:
-        self.all.ids.discard(self.exchange.id)
+        self.all.ids.pop(self.exchange.id, None)
         self.exchange = None
         self.caught_up.set()
         try:
@@ -228,7 +301,7 @@
         if answer.retry_after:
             whole = answer.retry_after == int(answer.retry_after)     # as RFC 9110 has it; decimals only where needed
             headers.append((b"retry-after", (b"%d" if whole else b"%.3f") % answer.retry_after))
-        last = answer.last or self.all.leaving or len(self.all.open) >= self.all.most
+        last = answer.last or self.flooded or self.all.leaving or len(self.all.open) >= self.all.most
         if last:
             headers.append((b"connection", b"close"))
         self.since = trio.current_time()
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -52,7 +52,7 @@
     def __init__(self, message: Message, names: Names, birth: Birth, answer: Callable[[Answer], None]) -> None:
         self.received = trio.current_time()
         self.message = message
-        self.answer = answer            # called once
+        self.waiting = [answer]         # who is answered: the client's connection, and others it came again on
         self.call_outs: dict[int, CallOut] = {}     # emptied as they end
         self.sent = 0
         self.taken = False              # its leg was taken from what contracts or the sites allow, and not given back
@@ -81,6 +81,20 @@
         if message.body or message.head.method != b"GET":
             self.headers.append((b"content-length", b"%d" % len(message.body)))
 
+    def answer(self, answer: Answer) -> None:
+        """Goes to each connection that waits for it, once."""
+        waiting, self.waiting = self.waiting, []
+        for tell in waiting:
+            tell(answer)
+
+    def same(self, other: "Exchange") -> bool:
+        """Whether the other is this request sent anew, and no other one under the same id."""
+        def told(exchange: Exchange) -> tuple:
+            head = exchange.message.head
+            return head.method, head.target, exchange.headers, exchange.message.body, exchange.method, exchange.plan
+
+        return told(self) == told(other)
+
     def passed_on(self, left: float) -> h11.Request:
         """The head for a server that is waited for so many seconds."""
         head = self.message.head
--- a/oakfork/sockets/heads.py
+++ b/oakfork/sockets/heads.py
@@ -1,4 +1,5 @@
 """HTTP/1.1 on one connection: h11 parses heads where they were received, writes are gathered."""
+import contextlib
 import errno
 import socket
 from typing import Iterator, NamedTuple
@@ -84,6 +85,35 @@
             self.http.receive_data(data)
             return bool(data)
 
+    def fill_at_once(self) -> bool:
+        """Receives what is there without waiting; whether there was something."""
+        try:
+            data = self.sock.recv(READ)
+        except OSError:     # nothing there, or broken, which the next wait tells
+            return False
+        self.buffered += len(data)
+        self.http.receive_data(data)
+        return bool(data)
+
+    async def discard(self, pause: float) -> bool:
+        """Waits for bytes and throws them away; False at the end of the other side's sending. After some it rests, so
+        that one who sends without end costs little."""
+        await trio.lowlevel.wait_readable(self.sock)
+        try:
+            data = self.sock.recv(READ)
+        except BlockingIOError:
+            return True
+        except OSError:
+            raise Break(Ending.BROKEN) from None
+        if data:
+            await trio.sleep(pause)
+        return bool(data)
+
+    def end_sending(self) -> None:
+        """Half-closes: the other side sees the end behind all that was written."""
+        with contextlib.suppress(OSError):      # it is gone already
+            self.sock.shutdown(socket.SHUT_WR)
+
     def parse(self) -> Message | None:
         """The next whole message; None where more must be received."""
         while True:
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -65,7 +65,10 @@
         async for told in self.inbox:
             while True:     # all that is there, with one turn of the scheduler
                 if told is not None:
-                    self._take(told)
+                    try:
+                        self._take(told)
+                    except Exception:   # what fails over one of them costs no other
+                        self.log.exception("the keeper failed", told_type=type(told).__name__)
                 try:
                     told = self.inbox.receive_nowait()
                 except trio.WouldBlock:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -67,7 +67,7 @@
         assert not w.seen()
 
 
-def test_the_id_of_an_open_rpc_is_refused_to_others(world):
+def test_the_id_of_an_open_rpc_is_refused_to_other_requests(world):
     def slow(handler, body):
         time.sleep(0.3)
         echo(handler, body)
@@ -76,7 +76,11 @@
         link = connection(w.at)
         link.request("GET", f"/api?client={CUSTOMER}", None, headers(X_Txn="7"))
         time.sleep(0.1)
-        assert rpc(w.at, X_Txn="7")[0] == 409 and rpc(w.at, X_Txn="8")[0] == 200
+        other = CUSTOMER[:-1] + "2"
+        assert rpc(w.at, X_Txn="7", path=f"/api?client={other}")[0] == 409
+        assert rpc(w.at, X_Txn="7", tier="basic")[0] == 409 and rpc(w.at, X_Txn="7", lane="seal", method="POST",
+                                                                    Idempotency_Key="7")[0] == 409
+        assert rpc(w.at, X_Txn="8")[0] == 200
         assert link.getresponse().read() == b"made for 7 " and [seen[2]["x-txn"] for seen in w.seen()] == ["7", "8"]
         assert rpc(w.at, X_Txn="7")[0] == 200
         gone = connection(w.at)
