Have what was decided of a call-out hold at its first byte, and a mark at its last

Cause: between the decision and the first byte a connection may take 1.5 s to come up. In that time the server may be told draining, gone or restarted, the client may leave (where the settings allow no cancelling nothing stopped it), a cold server's turn may pass, and the window in which a deduplicated repeat is known may end: nothing looked again. Besides: a connection in use when close_idle came went back to the idle list under an index that may stand for something newer; an answer told by no length was always held to be broken; a second answer some milliseconds late could be taken for the next RPC's; ends and probes of an earlier process were counted against the one that runs there now; buckets, slices and refusals were kept by customer alone, so that one plan's terms clamped or refused another's. Change: the module recalls call-outs that have not begun (Recall) when a server drains, goes or restarts and when the RPC is over, and says with Send by when the last byte is written (a mark counts from the first decision on, a cold server's turn for a quarter of the pause); the network begins only while that holds, and what has not begun never ran. Connections have an era by their server; they rest for 50 ms after an answer; an answer without a length is whole at a proper end, not at a reset. Buckets are kept by customer and plan.

--- a/oakfork/brain/links.py
+++ b/oakfork/brain/links.py
@@ -26,12 +26,11 @@
 class Links:
     def __init__(self, birth: face.Birth, desk: Desk, readings: Callable[[], list[bytes]]) -> None:
         self.birth, self.desk, self.readings = birth, desk, readings
-        self.life = 1 + desk.random(65535)      # names this start to the others
+        self.life, self.strange = 1 + desk.random(65535), 0     # names this start; frames not understood
         self.strangers = set(range(max(2, birth.gateways))) - {birth.index}     # may know our earlier life
         self.even = 0.9 * max(1.0, birth.mail_per_s) / SECOND / max(1, birth.gateways - 1)
         self.swift = max(self.even, birth.mail_per_s / 4 / SECOND)  # at first; an ask with no reply halves it
         self.peers = {i: Peer(desk.now, rate=self.swift) for i in range(birth.gateways) if i != birth.index}
-        self.strange = 0                        # frames that were not understood
         for i in self.peers if birth.peers and birth.mail_per_s else ():    # as fast as answers are taken in
             turn = int(1 / self.even) * ((i - birth.index) % birth.gateways) // birth.gateways
             desk.at(desk.now + turn, self._greet, i, SECOND // 4)
--- a/oakfork/brain/quotas.py
+++ b/oakfork/brain/quotas.py
@@ -14,17 +14,18 @@
     """Tokens of one customer, here as owner or in the local slice. Dropped by Quotas._check when full."""
     tokens: float
     updated: int
-    leases: dict[tuple, int] = field(default_factory=dict)  # who has a call-out open -> when it is lost
     lacks: float = 0.0      # what it would hold besides, had it begun full
+    leases: dict[tuple, int] = field(default_factory=dict)  # who has a call-out open -> when it is lost
 
 
 class Quotas:
     def __init__(self, birth: face.Birth, desk: Desk, links: Links, servers: Servers) -> None:
         self.birth, self.desk, self.links, self.servers = birth, desk, links, servers
-        self.buckets: dict[int, Bucket] = {}    # as owner; emptied by _check
-        self.slices: dict[int, Bucket] = {}     # without the owner; emptied by _check
+        # By customer and plan: one plan's terms say nothing of another's.
+        self.buckets: dict[tuple[int, int], Bucket] = {}    # as owner; emptied by _check
+        self.slices: dict[tuple[int, int], Bucket] = {}     # without the owner; emptied by _check
         self.answers: dict[tuple[int, int, int], int] = {}  # ask -> wait; emptied after 4 s
-        self.refusals: dict[int, tuple[int, float]] = {}    # customer -> until, units; emptied at until
+        self.refusals: dict[tuple[int, int], tuple[int, float]] = {}    # -> until, units; emptied then
         self.serial, self.reply, self.filled = 0, 0.0, False    # reply: the usual wait for one
 
     def owner(self, ask: face.Arrival) -> tuple[int, int]:
@@ -51,11 +52,11 @@
     def bucket(self, table: dict[int, Bucket], ask: face.Arrival | wire.Item, shares: Shares) -> Bucket:
         """The customer's bucket, refilled. Missing reads as full. Exception, only under a ceiling, which
         ignores restarts: as filled since our start, unless it is known to be our first."""
-        bucket, now = table.get(ask.customer), self.desk.now
+        bucket, now = table.get((ask.customer, ask.plan)), self.desk.now
         if bucket is None:
             empty = not self.links.first_life() and self.birth.plans[ask.plan].ceiling_rate
             since, lacks = (self.desk.born, shares.capacity) if empty else (-1 << 60, 0.0)
-            bucket = table[ask.customer] = Bucket(0.0 if shares.rate else shares.capacity, since, lacks=lacks)
+            bucket = table[ask.customer, ask.plan] = Bucket(shares.capacity * (not shares.rate), since, lacks)
             self.desk.at(now, self._check, table, ask, shares)
         bucket.tokens = min(shares.capacity, bucket.tokens + (now - bucket.updated) * shares.rate)
         bucket.updated = now
@@ -85,7 +86,7 @@
         bucket, now = self.bucket(table, ask, shares), self.desk.now
         fills = int(shares.capacity / shares.rate) + 1 if shares.rate else self.servers.longest
         if bucket.tokens >= shares.capacity and all(lost <= now for lost in bucket.leases.values()):
-            del table[ask.customer]
+            del table[ask.customer, ask.plan]
         else:
             self.desk.at(now + fills, self._check, table, ask, shares)
 
@@ -104,7 +105,8 @@
         if owner == self.birth.index:
             return self._take_here(rpc, Hold(self.buckets, whole, owner, self.links.life, serial))
         # Exception: a refusal is remembered until its retry-after: a client's retries cost no fresh ask.
-        until, units = self.refusals.get(ask.customer, (0, 0.0))
+        key = ask.customer, ask.plan
+        until, units = self.refusals.get(key, (0, 0.0))
         if until > now and ask.units >= units:
             return until - now
         peer = self.links.peers.get(owner)
@@ -116,7 +118,7 @@
             # A tenth of the soft deadline. Exceptions: where replies take longer, twice their usual time, up
             # to a third; where the slice has spent or has a ceiling's part only, it asks up to three times.
             soft = rpc.row.method.soft_deadline
-            tries = 3 if plan.ceiling_rate or ask.customer in self.slices else 1
+            tries = 3 if plan.ceiling_rate or key in self.slices else 1
             wait = max(soft // 10, min(int(2 * self.reply), soft // (3 * tries)))
             for _ in range(tries):
                 self.links.post(owner, wire.Ask(serial, ask.customer, ask.plan, ask.units))
@@ -127,8 +129,8 @@
                         # Exception: the slice counts as spent too, or hundreds of them grant beside it.
                         self.bucket(self.slices, ask, local).tokens = 0.0
                     if answer.wait:
-                        self.refusals[ask.customer] = (self.desk.now + answer.wait, ask.units)
-                        self.desk.at(self.desk.now + answer.wait, self.refusals.pop, ask.customer, None)
+                        self.refusals[key] = (self.desk.now + answer.wait, ask.units)
+                        self.desk.at(self.desk.now + answer.wait, self.refusals.pop, key, None)
                     return answer.wait
             rpc.asking, peer.missed, peer.rate = -1, peer.missed + 1, max(self.links.even, peer.rate / 2)
         wait = self._take_here(rpc, Hold(self.slices, local, owner, peer.life if peer else 0, serial))
@@ -154,9 +156,9 @@
         return hold.owner != self.birth.index and 0 < hold.life == self.links.peers[hold.owner].life
 
     def release(self, rpc: Rpc) -> None:
-        hold, customer = rpc.hold, rpc.ask.customer
-        if hold and hold.shares.concurrency and customer in (hold.table or ()):
-            hold.table[customer].leases.pop((self.birth.index, self.links.life, hold.serial), None)
+        hold, customer, key = rpc.hold, rpc.ask.customer, (rpc.ask.customer, rpc.ask.plan)
+        if hold and hold.shares.concurrency and key in (hold.table or ()):
+            hold.table[key].leases.pop((self.birth.index, self.links.life, hold.serial), None)
         elif hold and hold.shares.concurrency and hold.table is None and self._lives(hold):
             self.links.post(hold.owner, wire.Release(hold.serial, customer))
 
@@ -183,6 +185,7 @@
                 self.answers[holder] = self._take(self.buckets, item, shares, holder)
                 self.desk.at(self.desk.now + 4 * SECOND, self.answers.pop, holder, None)
             self.links.post(sender, wire.Answer(item.serial, self.answers[holder]))
-        elif item.customer in self.buckets:
-            self.buckets[item.customer].leases.pop((sender, peer.life, item.serial), None)
+        for plan in range(len(self.birth.plans)) if isinstance(item, wire.Release) else ():     # it has none
+            if (item.customer, plan) in self.buckets:
+                self.buckets[item.customer, plan].leases.pop((sender, peer.life, item.serial), None)
         return rpc
--- a/oakfork/brain/rpcs.py
+++ b/oakfork/brain/rpcs.py
@@ -23,8 +23,7 @@
         self.desk.begin(now, event)
         match event:
             case face.Arrival(index):
-                row = self.servers.methods[event.method]
-                rpc = self.rpcs[index] = Rpc(event, row, now + event.time_left)
+                rpc = self.rpcs[index] = Rpc(event, self.servers.methods[event.method], now + event.time_left)
                 rpc.run = self._answer(rpc)
                 self._resume(rpc, None)
             case face.CallOutEnded():
@@ -68,8 +67,7 @@
             if not rpc.out or copy and self.desk.now >= copy_at:
                 chosen = yield from self._look(rpc, min(soft, rpc.dl))
                 if chosen is not None:
-                    server = self._send(rpc, chosen)
-                    # Guards against looks summed over the fleet: later where they are dear.
+                    server = self._send(rpc, chosen)    # a copy comes later where looks are dear
                     copy_at = self.desk.now + rpc.row.late * (3 if self.servers.dear else 2) // 2
                 elif not rpc.out:
                     break
@@ -100,7 +98,12 @@
 
     def _send(self, rpc: Rpc, index: int) -> Server:
         server, now, number, rpc.sent = self.servers.all[index], self.desk.now, rpc.sent, rpc.sent + 1
-        self.desk.commands.append(face.Send(rpc.ask.rpc, index, 0))
+        # Guards against connections that come up late: a mark counts from the first call-out on, and a cold
+        # server's turn is over after a quarter of the time to the next. The last byte is written until then.
+        first, rule = min((at for _, at in rpc.maybe.values()), default=now), rpc.row.method
+        mark, turn = rule.remembered * (rule.repeat == Repeat.DEDUPLICATED), self.servers.pause(server) // 4
+        ends = [first + mark] * bool(mark) + [now + turn] * bool(turn)
+        self.desk.commands.append(face.Send(rpc.ask.rpc, index, 0, min(ends, default=0)))
         rpc.out[number], rpc.maybe[number] = index, (index, now)
         server.open[rpc.ask.rpc, number] = server.sent_at = now
         return server
@@ -112,7 +115,8 @@
             return
         rpc.out.pop(event.call_out, None)
         elapsed = max(0, self.desk.now - sent_at - int(self.desk.lag))
-        if event.status != Status.MOOT and self.servers.judge(server, rpc.ask.method, event.status, elapsed):
+        blame = event.status != Status.MOOT and sent_at >= server.since      # not what an earlier process did
+        if blame and self.servers.judge(server, rpc.ask.method, event.status, elapsed):
             self.let_in = min(1.15, self.let_in * 1.15)
         if event.status in NEVER_RAN:
             rpc.maybe.pop(event.call_out, None)
@@ -130,8 +134,8 @@
             rpc.run.close()
             if not rpc.sent:
                 self.quotas.give_back(rpc, rpc.ask.units)
-            if self.birth.cancel:
-                self.desk.commands.extend(face.Cancel(rpc.ask.rpc, call_out) for call_out in rpc.out)
+            stop = face.Cancel if self.birth.cancel else face.Recall    # what has not begun never does
+            self.desk.commands.extend(stop(rpc.ask.rpc, call_out) for call_out in rpc.out)
         if not rpc.out:
             self.quotas.release(rpc)
             del self.rpcs[rpc.ask.rpc]
@@ -150,8 +154,7 @@
                 if servers.dear and desk.now < servers.all[index].seen_at + SECOND // 2:     # by whichever
                     seen[index] = servers.all[index].seen
                 elif index not in asked:
-                    if index not in servers.looks:      # one probe tells all who wait for it
-                        desk.commands.append(face.Probe(index))
+                    desk.commands += [face.Probe(index)] * (index not in servers.looks)     # one tells all
                     servers.looks.setdefault(index, []).append(rpc)
                 asked.add(index)
             until = min(rpc.dl, desk.now + max(1, self.shortest // 15))
@@ -160,8 +163,7 @@
                 if isinstance(probe, face.ProbeEnded) and probe.server in asked and probe.status == Status.OK:
                     seen[probe.server] = servers.all[probe.server].seen
             for index in sorted(seen, key=seen.get):
-                # Latency goes with pressure (four: a probe's own work, or the cores); half is for what comes
-                # in between, but where looks are dear there is no other pair to ask.
+                # Latency goes with pressure (four: a probe's own work); half is for what comes between.
                 slow = row.mean * (seen[index] + 4) / (row.pressure + 4)
                 fits = slow < (0.8 if servers.dear else 0.4) * (by - desk.now)
                 fits = fits and (not rpc.out or seen[index] <= row.pressure)    # a copy: where less is held
--- a/oakfork/brain/servers.py
+++ b/oakfork/brain/servers.py
@@ -20,8 +20,9 @@
     trickle: int = 0        # own call-outs at once while it comes back; 0: it is back
     aside_until: int = 0
     not_before: int = 0     # nothing is sent earlier: it was full
+    since: int = 0          # when this gateway was told of this process
     sent_at: int = 0        # the last call-out to it; for a cold one, at first a point drawn by chance
-    mark: int = 0           # names it to other gateways
+    mark: int = 0           # names it to other gateways: a hash, for ids may be alike
     mine: bool = False      # one of those that this gateway keeps to
     seen: int = 0           # how long a probe took there beyond the quickest of its zone
     seen_at: int = -SECOND  # when that was
@@ -54,8 +55,7 @@
     def told(self, event: face.ServerList) -> None:
         desk = self.desk
         if self.birth.asks_list and (event.failed or not self.all):     # on a failure, and at the start
-            # Guards against a discovery that stays overbooked by calls that fail: first within two seconds of
-            # the start, then after a third of the longest pause, twice as long each time, up to all of it.
+            # Guards against an overbooked discovery: two seconds at the start, then pauses that double.
             pause, first = self.list_pause * event.failed, 2 * SECOND if event.entries else 1
             at = desk.now + pause // 2 + desk.random(pause or first)
             desk.at(at, lambda: desk.commands.append(face.Subscribe()))
@@ -66,12 +66,13 @@
         for entry in event.entries:
             server = self.all.get(entry.server)
             if server is None or entry.up_since != server.entry.up_since:   # another process: all is new
-                server = self.all[entry.server] = Server(entry, open=server.open if server else {})
-            # The mark is a hash: ids may be alike.
+                server = self.all[entry.server] = Server(entry, server.open if server else {}, since=desk.now)
             server.entry, server.mark = entry, (entry.true_id * 0x9E3779B97F4A7C15 & MASK) >> 32
             self.marks[server.mark] = entry.server
         for index in event.complete and self.all.keys() - {entry.server for entry in event.entries} or ():
             self.all[index].entry = self.all[index].entry._replace(state=State.GONE)
+        desk.commands += [face.Recall(*key) for server in self.all.values() for key, at in server.open.items()
+                          if server.entry.state != State.READY or at < server.since]
         for index in [i for i, gone in self.all.items() if gone.entry.state == State.GONE and not gone.open
                       and i not in self.looks and desk.now > gone.sent_at + self.longest]:
             self.marks.pop(self.all.pop(index).mark, None)      # no RPC can speak of it any more
@@ -79,8 +80,7 @@
         ready = [index for index, server in sorted(self.all.items()) if server.entry.state == State.READY]
         self.ready, size, self.among = ready, len(ready), self.birth.gateways
         if self.birth.connection_price and size > 16:
-            # Guards against a connection, and looks, from each gateway to each server: each keeps to sixteen
-            # from its own place, and hears them often. Chance comes on top of how many share one.
+            # Guards against connections and looks from each to each: it keeps to sixteen, shared by chance.
             ready.sort(key=lambda index: self.all[index].mark)
             self.place, each = size * self.birth.index // self.among, 16 * self.among / size
             ready, self.among = self._row(self.place), min(self.among, int(each + each ** 0.5) + 1)
@@ -111,8 +111,7 @@
             self.answers_seen += 1
             self.quiet = min(self.mean_latency, self.quiet * 1.002 if self.answers_seen > 20 else 1e9)
             server.pace += (elapsed / max(1.0, row.mean) - server.pace) * 0.1
-            server.bad *= 0.8
-            server.trickle = server.trickle * 2 % 32    # doubles while it goes well
+            server.bad, server.trickle = server.bad * 0.8, server.trickle * 2 % 32  # doubles: all is well
         elif status == Status.FULL:     # not ill, but it takes no more for about the time of one answer
             server.not_before = now + int(row.mean)
         elif status != Status.CANCELLED or late:
@@ -127,7 +126,7 @@
     def seen(self, probe: face.ProbeEnded) -> None:
         """Pressure: how long a probe took beyond the quickest of its zone; reports are refreshed seldom."""
         server = self.all.get(probe.server)
-        if server and probe.status == Status.OK:
+        if server and probe.status == Status.OK and self.desk.now - probe.elapsed >= server.since:
             zone, taken = server.entry.zone, probe.elapsed
             self.quickest[zone] = min(self.quickest.get(zone, SECOND), taken)
             server.seen, server.seen_at = taken - self.quickest[zone], self.desk.now
@@ -152,8 +151,7 @@
         return server.pace * (len(server.open) + 2) * (1 + 4 * server.bad) * place
 
     def pause(self, server: Server) -> int:
-        """The time between own call-outs to a cold server: all gateways together must not push it over. By
-        the latency of quiet times: a queue at the warm ones would keep the cold ones from helping."""
+        """Between own call-outs to a cold server, by the latency of quiet times: warm ones have queues."""
         now, since = self.desk.now, server.entry.up_since
         if not since or now >= since + self.birth.cold_time:
             return 0
--- a/oakfork/interface.py
+++ b/oakfork/interface.py
@@ -178,6 +178,7 @@
     rpc: int
     server: int
     until: int          # on the clock; 0: until the client gives up
+    written_by: int = 0     # on the clock: if its last byte is not written then, it is never sent; 0: any time
 
 
 class PushBack(NamedTuple):
@@ -194,6 +195,12 @@
     call_out: int
 
 
+class Recall(NamedTuple):
+    """Has a call-out never begin if its first byte is not written yet; it ends as moot. One that has begun goes on."""
+    rpc: int
+    call_out: int
+
+
 class Wake(NamedTuple):
     token: int
     after: int
@@ -237,5 +244,5 @@
     text: str
 
 
-Command = (Send | PushBack | Abort | Cancel | Wake | Probe | Tell | Subscribe | ReadList | CloseIdle | Forget
-           | Count | Note)
+Command = (Send | PushBack | Abort | Cancel | Recall | Wake | Probe | Tell | Subscribe | ReadList | CloseIdle
+           | Forget | Count | Note)
--- a/oakfork/lab/tier.py
+++ b/oakfork/lab/tier.py
@@ -108,7 +108,7 @@
     def _carry_out(self, command: face.Command, own: list[face.Event], touched: set[int]) -> None:
         world, loop = self.world, self.world.loop
         match command:
-            case face.Send(index, server, _):
+            case face.Send(index, server):
                 self._send(self.exchanges[index], server, own)
             case face.PushBack(index, advice):
                 self._finish(self.exchanges[index], "pushed back", advice)
--- a/oakfork/sockets/endings.py
+++ b/oakfork/sockets/endings.py
@@ -20,7 +20,7 @@
     STALLED = auto()        # the answer began and did not go on
     SILENT = auto()         # nothing came in time
     GIVEN_UP = auto()       # this side gave it up
-    TOO_LATE = auto()       # the RPC was over before anything was written
+    TOO_LATE = auto()       # what was decided did not hold any more before anything was written
 
 
 STATUS = {
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -33,18 +33,29 @@
 
 class CallOut:
     """One call-out of an RPC while it is out."""
-    __slots__ = ("number", "server", "scope", "withdrawn", "started")
+    __slots__ = ("number", "server", "scope", "withdrawn", "begun", "written_by", "started")
 
-    def __init__(self, number: int, server: int, until: float) -> None:
+    def __init__(self, number: int, server: int, until: float, written_by: float) -> None:
         self.number, self.server = number, server
         self.scope = trio.CancelScope(deadline=until)
+        self.written_by = written_by
         self.withdrawn = False
+        self.begun = False      # its first byte may have been written
         self.started = trio.current_time()
 
     def withdraw(self) -> None:
         self.withdrawn = True
         self.scope.cancel()
 
+    def recall(self) -> None:
+        if not self.begun:
+            self.withdraw()
+
+    def begin(self) -> bool:
+        """Whether it may begin, now that there is a connection. From here on it may have run."""
+        self.begun = not self.withdrawn and trio.current_time() <= min(self.written_by, self.scope.deadline)
+        return self.begun
+
 
 class Exchange:
     """An RPC from its head to its answer, with its call-outs."""
--- a/oakfork/sockets/keeper.py
+++ b/oakfork/sockets/keeper.py
@@ -151,8 +151,8 @@
     def _carry_out(self, command: face.Command) -> None:
         """Starts what the command says, without waiting for it."""
         match command:
-            case face.Send(rpc, server, until):
-                self._send(rpc, server, until)
+            case face.Send():
+                self._send(command)
             case face.PushBack(rpc, retry_after):
                 self._finish(rpc, Answer(503, retry_after=retry_after / 10_000))
             case face.Abort(rpc):
@@ -161,6 +161,10 @@
                 ticket = self.door.tickets[rpc]
                 if ticket and number in ticket.true_id.call_outs:
                     ticket.true_id.call_outs[number].withdraw()
+            case face.Recall(rpc, number):
+                ticket = self.door.tickets[rpc]
+                if ticket and number in ticket.true_id.call_outs:
+                    ticket.true_id.call_outs[number].recall()
             case face.Wake(token, after):
                 heapq.heappush(self.wakes, (self.latest + after, token))
             case face.Probe(server):
@@ -208,12 +212,14 @@
             exchange.taken = False
             self.contracts.over(exchange.contract, exchange.sent > 0)
 
-    def _send(self, rpc: int, server: int, until: int) -> None:
+    def _send(self, command: face.Send) -> None:
+        rpc, server, until, written_by = command
         ticket = self.door.tickets[rpc]
         exchange = ticket.true_id
         end = min(exchange.until, until / 10_000 - self.epoch) if until else exchange.until
         # A millisecond more: the module is to hear of it when its deadline is past, not just before.
-        call_out = CallOut(exchange.sent, server, end + 0.001)
+        call_out = CallOut(exchange.sent, server, end + 0.001,
+                           written_by / 10_000 - self.epoch if written_by else math.inf)
         exchange.sent += 1
         if ticket.over or end <= trio.current_time():
             status = STATUS[Ending.TOO_LATE]
@@ -235,9 +241,12 @@
                 ending = Ending.TOO_LATE
             else:
                 ending, message = await self.servers.call(call_out.server, self.starts[call_out.server][0], request,
-                                                          exchange.message.body)
-        if call_out.scope.cancelled_caught and not call_out.withdrawn:
-            ending = Ending.SILENT
+                                                          exchange.message.body, call_out)
+        if call_out.scope.cancelled_caught:
+            if call_out.begun:
+                ending = Ending.GIVEN_UP if call_out.withdrawn else Ending.SILENT
+            else:
+                ending = Ending.TOO_LATE if call_out.withdrawn else Ending.NEVER_UP
         tell(self.queue, CallOutOver(exchange, call_out, ending, message))
 
     async def _probe(self, server: int) -> None:
--- a/oakfork/sockets/servers.py
+++ b/oakfork/sockets/servers.py
@@ -1,4 +1,5 @@
 """Connections to the servers: call-outs and probes, each on a connection of its own while it lasts."""
+import math
 from typing import Sequence
 
 import h11
@@ -7,8 +8,12 @@
 from oakfork.errors import Break
 from oakfork.sockets.configuration import Address
 from oakfork.sockets.endings import Ending
+from oakfork.sockets.exchange import CallOut
 from oakfork.sockets.heads import Link, Message, connect, pairs, plain
 
+# Seconds that a connection rests after an answer before it is used again: a second answer may come some milliseconds
+# late, and would be taken for the next one's.
+REST = 0.05
 EARLY = 1.0     # seconds before the other side's idle limit at which a connection is no longer used
 
 
@@ -49,20 +54,29 @@
         self.names = [name.encode() for name in names]
         self.open = 0
         self.ages = Ages()
+        self.eras: dict[int, int] = {}      # by the server's index: how often what runs there changed; no larger than
+        # the keeper's table of servers
         self.idle: dict[int, list[tuple[float, Link]]] = {}     # by the server's index; emptied by run
 
-    async def call(self, server: int, address: Address, request: h11.Request,
-                   body: bytes = b"") -> tuple[Ending, Message | None]:
-        """One exchange with a server. Sends it once and never again; the connection is kept if it stays usable."""
-        link, age, ending = None, None, Ending.GIVEN_UP
+    async def call(self, server: int, address: Address, request: h11.Request, body: bytes = b"",
+                   call_out: CallOut | None = None) -> tuple[Ending, Message | None]:
+        """One exchange with a server. Sends it once and never again; the connection is kept if it stays usable. A
+        call-out begins only while what was decided holds, and is written whole in its time or never."""
+        link, age, ending, era = None, None, Ending.GIVEN_UP, self.eras.get(server, 0)
         try:
-            link, age = self._kept(server)
-            link = link or await self._new(address)
-            await link.write(request, body)
+            with trio.CancelScope(deadline=call_out.written_by if call_out else math.inf) as scope:
+                link, age = self._kept(server)
+                link = link or await self._new(address)
+                # Guards against connections that come up late: they may lead to what runs there no more.
+                if era != self.eras.get(server, 0) or call_out and not call_out.begin():
+                    raise Break(Ending.TOO_LATE)
+                await link.write(request, body)
+            if scope.cancelled_caught:
+                raise Break(Ending.UNSENT if link else Ending.NEVER_UP)
             message = await link.read(self.connect_patience)
-            if not _framed(message):
-                raise Break(Ending.BROKEN)
-            if link.renew():
+            # Guards against keeping a connection, in use when what runs there changed, under an index that stands for
+            # something else by now.
+            if link.renew() and era == self.eras.get(server, 0):
                 self.idle.setdefault(server, []).append((trio.current_time(), link))
                 link = None
             ending = _ending(message)
@@ -84,15 +98,18 @@
         return Ending.SILENT, None
 
     def _kept(self, server: int) -> tuple[Link | None, float | None]:
-        """A connection, and how long it has been idle."""
-        kept = self.idle.get(server, [])
-        while kept:
+        """A connection, and how long it has been idle: the last used of those that have rested."""
+        kept, now, found = self.idle.get(server, []), trio.current_time(), (None, None)
+        resting = [pair for pair in kept if now - pair[0] < REST]
+        del kept[len(kept) - len(resting):]
+        while kept and found[0] is None:
             since, link = kept.pop()
-            age = trio.current_time() - since
-            if age < self.usable and self.ages.fit(age) and link.lively():
-                return link, age
-            self._drop(link)
-        return None, None
+            if now - since < self.usable and self.ages.fit(now - since) and link.lively():
+                found = link, now - since
+            else:
+                self._drop(link)
+        kept += resting
+        return found
 
     async def _new(self, address: Address) -> Link:
         if self.open >= self.most and not self._drop_oldest():
@@ -115,6 +132,8 @@
         return bool(lists)
 
     def close_idle(self, server: int) -> None:
+        """What runs there has changed or is gone: no connection to it is used any more, those in use for no other."""
+        self.eras[server] = self.eras.get(server, 0) + 1
         for _, link in self.idle.pop(server, ()):
             self._drop(link)
 
@@ -146,13 +165,6 @@
         return tuple(values[name] for name in self.names)
 
 
-def _framed(message: Message) -> bool:
-    """Whether the answer told its own length: otherwise a break can't be told from the end."""
-    if message.head.status_code in (204, 304):
-        return True
-    return message.header(b"content-length") is not None or message.header(b"transfer-encoding") is not None
-
-
 def _ending(message: Message) -> Ending:
     status = message.head.status_code
     if status == 200:
--- a/oakfork/wirehost/host.py
+++ b/oakfork/wirehost/host.py
@@ -61,7 +61,7 @@
 
     def action(self, now: int, command: face.Command) -> bytes:
         match command:
-            case face.Send(rpc, server, until):
+            case face.Send(rpc, server, until, _):
                 self.door.tickets[rpc].out += 1
                 return codec.transmit(self.door.tickets[rpc].true_id, self.door.server_ids[server], until / 10)
             case face.PushBack(rpc, retry_after):
@@ -72,6 +72,8 @@
                 return codec.abort(self.door.tickets[rpc].true_id)
             case face.Cancel(rpc, call_out):
                 return codec.retract(self.door.tickets[rpc].true_id, call_out)
+            case face.Recall():     # on this wire a call-out begins in the instant in which it is decided
+                return b""
             case face.Wake(token, after):
                 return codec.remind(token, after / 10)
             case face.Probe(server):
