Heed signals from the first instant of a process to its last

Cause, seen by tests/test_signals.py on the program before: SIGHUP before the signal receiver was open killed the process (its default); one that came while it left, or a second SIGTERM, was redelivered when the receiver closed and ended it with a signal's status; SIGHUP with a half-written file was forgotten for good once the file could not be read.

--- a/oakfork/__main__.py
+++ b/oakfork/__main__.py
@@ -6,5 +6,7 @@
         from oakfork.command import main
         main(prog_name="oakfork")
     else:
+        from oakfork import early
+        early.hold()
         from oakfork.serving import serve
         serve()
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -5,12 +5,13 @@
 import signal
 import socket
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, AsyncIterator
 
 import structlog
 import trio
 from structlog.stdlib import BoundLogger
 
+from oakfork import early
 from oakfork.errors import AddressTaken, ConfigurationError, FileError, told
 from oakfork.sockets.clients import Clients
 from oakfork.sockets.configuration import Surroundings, reread
@@ -27,6 +28,9 @@
 OTHERS = 24         # descriptors for the other parties and the interpreter: twelve were seen, more where lists are read
 ANSWERS = 64        # an answer may take that part of the memory: a third is the program's, few are so large at once
 LINGER = 0.6        # seconds after SIGTERM in which new connections are still taken: they come for 0.4 s
+# A new configuration that is not usable is read again so often, so many seconds apart: it may be half written. What it
+# says counts four seconds after SIGHUP.
+READINGS, BETWEEN = 13, 0.25
 MARGIN = 0.7        # seconds beyond the longest deadline after which it ends in any case, as in PROTOCOL
 
 
@@ -72,12 +76,9 @@
                 nursery.start_soon(fleet.run)
             nursery.start_soon(clients.sweep)
             log.info("serving", listen="%s:%d" % here.listen)
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    break
-                _turn(discovery, counter, log)
-                if fleet:
-                    fleet.reread()
+            to_leave = trio.Event()
+            nursery.start_soon(_heed, signals, to_leave, discovery, counter, fleet, log)
+            await to_leave.wait()
             log.info("leaving", connections=len(clients.open))
             clients.leave()
             if fleet:
@@ -100,13 +101,33 @@
     return Part(path, here.birth.index, log)
 
 
-def _turn(discovery: Discovery, counter: Counter | None, log: BoundLogger) -> None:
-    """Goes over to what the configuration names now. One that is not usable changes nothing: the gateway serves on."""
-    try:
-        to_discovery, to_counter = reread(os.environ)
-    except ConfigurationError as error:
-        log.error("the new configuration is not usable, the old one holds", **told(error))
-        return
+async def _heed(signals: AsyncIterator[int], to_leave: trio.Event, discovery: Discovery, counter: Counter | None,
+                fleet: "Part | None", log: BoundLogger) -> None:
+    """Takes signals until the end of the process, while it leaves too: one that nobody takes would end it."""
+    async with trio.open_nursery() as nursery:
+        if early.taken():
+            nursery.start_soon(_turn, discovery, counter, log)
+        async for number in signals:
+            if number != signal.SIGHUP:
+                to_leave.set()
+                continue
+            nursery.start_soon(_turn, discovery, counter, log)
+            if fleet:
+                fleet.reread()
+
+
+async def _turn(discovery: Discovery, counter: Counter | None, log: BoundLogger) -> None:
+    """Goes over to what the configuration names now. One that is not usable is read again for three seconds, and then
+    changes nothing: the gateway serves on."""
+    for reading in range(READINGS):
+        try:
+            to_discovery, to_counter = reread(os.environ)
+            break
+        except ConfigurationError as error:
+            if reading == READINGS - 1:
+                log.error("the new configuration is not usable, the old one holds", **told(error))
+                return
+            await trio.sleep(BETWEEN)
     discovery.turn_to(to_discovery)
     if counter is not None and to_counter is not None:
         counter.turn_to(to_counter)
