Handle KNOWN-RED.txt: listed tests have to fail, are printed, and are three at most

Need: a test for a real fault that can't be mended yet may land, named, without hiding that it fails or that it passes again. pytest's strict xfail does it with README's command as it stands; a bad line, a fourth or an unknown name ends the run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,9 @@
-"""Fixtures that several files use."""
+"""Fixtures that several files use, and the handling of KNOWN-RED.txt."""
 import pytest
+from known_red import (
+    pytest_collection_modifyitems as pytest_collection_modifyitems,
+    pytest_terminal_summary as pytest_terminal_summary,
+)
 from standins import World
 
 
