--- a/tests/world.py
+++ b/tests/world.py
@@ -1,4 +1,7 @@
-"""Several gateways under seeded chance, with the five rules checked after every step. Bench-free."""
+"""Several gateways under seeded chance, with the five rules checked after every step. Bench-free.
+
+A call-out has two instants: it is decided (Send), and it begins when its connection is up, at once or to 1.5 s later.
+Rules 2, 3 and 4 hold at the second, which is where the world checks them; until then it may be recalled."""
 import heapq
 import random
 
@@ -35,8 +38,10 @@
 
 
 class World:
-    def __init__(self, seed: int, gateways: int, servers: int, trouble=True, probing=False) -> None:
-        self.dice, self.trouble, self.probing = random.Random(seed), trouble, probing
+    def __init__(self, seed: int, gateways: int, servers: int, trouble=True, **told) -> None:
+        self.dice, self.trouble, self.settings = random.Random(seed), trouble, {"probing": False} | told
+        self.methods = self.settings.get("methods", METHODS)
+        self.late = (0,)            # how long connections take to come up: drawn from these
         self.now, self.order, self.queue = 1000, 0, []
         self.servers, self.count = servers, gateways
         self.link_cap = birth().mail_per_s / max(1, gateways - 1)   # frames a second from one to another
@@ -62,7 +67,7 @@
 
     def launch(self, index: int) -> None:
         self.end_life(index)
-        self.brains[index] = Brain(birth(index, self.count, self.dice.getrandbits(64), probing=self.probing), self.now)
+        self.brains[index] = Brain(birth(index, self.count, self.dice.getrandbits(64), **self.settings), self.now)
         self.told[index] = {server: (State.READY, 0) for server in range(self.servers)}
         self.give(index, face.ServerList(True, False, tuple(entry(server) for server in range(self.servers))))
 
@@ -79,22 +84,33 @@
 
     def give(self, index: int, event) -> None:
         key = None
+        if callable(event):
+            event(index)
+            return
         if isinstance(event, face.Arrival):
             key = (index, self.lives[index], event.rpc)
-            self.rpcs[key] = dict(ask=event, dl=self.now + event.time_left, over=False, out={}, maybe={}, sent=0)
+            self.rpcs[key] = dict(ask=event, dl=self.now + event.time_left, over=False, out={}, maybe={}, sent=0,
+                                  stopped=set())
         elif isinstance(event, face.CallOutEnded):
             known = self.rpcs[index, self.lives[index], event.rpc]
             if event.call_out not in known["out"]:
                 return
             del known["out"][event.call_out]
             if event.status in NEVER_RAN:
-                del known["maybe"][event.call_out]
+                known["maybe"].pop(event.call_out, None)
             if event.status == Status.OK and not known["over"]:
                 known["over"], event = True, event._replace(final=True)
                 self.answers["ok"] += 1
             elif known["over"]:
                 event = event._replace(final=True)
+        elif isinstance(event, face.ClientGone):
+            known = self.rpcs.get((index, self.lives[index], event.rpc))
+            if known is None or known["over"]:
+                return
+            known["over"], known["left"] = True, self.now
         elif isinstance(event, face.ServerList):
+            if event.complete:
+                self.told[index] = {server: (State.GONE, 0) for server in self.told[index]}
             self.told[index].update({e.server: (e.state, e.up_since) for e in event.entries})
         for command in self.brains[index].handle(self.now, event):
             self.log.append((self.now, index, command))
@@ -123,7 +139,7 @@
             case face.PushBack(rpc) | face.Abort(rpc):
                 known = self.rpcs[index, self.lives[index], rpc]
                 assert not known["over"], "rule 1: a second final answer"
-                method = METHODS[known["ask"].method]
+                method = self.methods[known["ask"].method]
                 if isinstance(command, face.PushBack) and known["maybe"]:
                     assert method.repeat == Repeat.IDEMPOTENT or (
                         method.repeat == Repeat.DEDUPLICATED and method.group == "all"), "rule 2: harmful pushback"
@@ -131,38 +147,67 @@
                 self.answers["pushed back" if isinstance(command, face.PushBack) else "aborted"] += 1
             case face.Cancel(rpc, call_out):
                 known = self.rpcs[index, self.lives[index], rpc]
-                server = known["out"][call_out]
-                self.later(20, index, face.CallOutEnded(rpc, call_out, server, 20, Status.CANCELLED, True, 0, ()))
+                begun = call_out in known["maybe"]
+                self.end(index, rpc, call_out, Status.CANCELLED if begun else Status.MOOT, 20)
+            case face.Recall(rpc, call_out):
+                known = self.rpcs.get((index, self.lives[index], rpc))
+                if known and call_out in known["out"] and call_out not in known["maybe"]:
+                    self.end(index, rpc, call_out, Status.MOOT, 1)
             case face.Send(rpc, server):
-                self.check_send(index, rpc, server)
+                self.send(index, rpc, server, command.written_by)
 
-    def check_send(self, index: int, rpc: int, server: int) -> None:
+    def end(self, index: int, rpc: int, call_out: int, status: Status, after: int) -> None:
         known = self.rpcs[index, self.lives[index], rpc]
-        ask, dice = known["ask"], self.dice
-        method = METHODS[ask.method]
+        known["stopped"].add(call_out)
+        server = known["out"][call_out]
+        self.later(after, index, face.CallOutEnded(rpc, call_out, server, after, status, known["over"], 0, ()))
+
+    def send(self, index: int, rpc: int, server: int, written_by: int) -> None:
+        known = self.rpcs[index, self.lives[index], rpc]
+        ask = known["ask"]
         assert not known["over"] and self.now < known["dl"], "rule 1: sent on after its final answer"
+        assert self.told[index][server][0] == State.READY, "rule 3: sent to a server that drains or is gone"
+        plan = PLANS[ask.plan]
+        if plan.ceiling_rate and not known["sent"]:
+            tokens, at = self.stores.get(ask.customer, (plan.ceiling_burst, self.now))
+            tokens = min(plan.ceiling_burst, tokens + (self.now - at) * plan.ceiling_rate / SECOND) - ask.units
+            self.stores[ask.customer] = tokens, self.now
+            assert tokens >= -plan.ceiling_slack, "rule 5: past the ceiling"
+        number = known["sent"]
+        known["sent"] += 1
+        known["out"][number] = server
+        late = self.dice.choice(self.late) if len(self.late) > 1 else self.late[0]
+        if late:
+            self.later(late, index, lambda index: self.begin(index, rpc, number, written_by))
+        else:
+            self.begin(index, rpc, number, written_by)
+
+    def begin(self, index: int, rpc: int, number: int, written_by: int) -> None:
+        """Its connection is up: what the gateway has not taken back by now runs."""
+        known = self.rpcs.get((index, self.lives[index], rpc))
+        if known is None or number not in known["out"] or number in known["stopped"]:
+            return
+        server, ask, dice = known["out"][number], known["ask"], self.dice
+        if written_by and self.now > written_by or self.now >= known["dl"]:
+            self.end(index, rpc, number, Status.CONNECT_FAILED, 1)
+            return
+        method = self.methods[ask.method]
+        assert not known["over"], "a client that has gone, or is answered, has a call-out begin"
         if known["maybe"]:
             assert method.repeat != Repeat.NON_IDEMPOTENT, "rule 2: a non-idempotent RPC sent again"
             if method.repeat == Repeat.DEDUPLICATED:
                 first, at = min(known["maybe"].values(), key=lambda where: where[1])
                 assert self.now < at + method.remembered, "rule 2: sent again when its mark was forgotten"
-                assert method.group == "all" or first % 3 == server % 3, "rule 2: sent again outside its group"
+                parts = {"all": 1, "zone": 2, "cell": 3}[method.group]
+                assert first % parts == server % parts, "rule 2: sent again outside its group"
         state, since = self.told[index][server]
         assert state == State.READY, "rule 3: sent to a server that drains or is gone"
         if since and self.now - since < SECOND:
             # What an earlier process on that machine held does not count.
             held = sum(k["maybe"][number][1] >= since for k in self.rpcs.values()
-                       for number, where in k["out"].items() if where == server)
+                       for number, where in k["out"].items() if where == server and number in k["maybe"])
             assert held < self.count, "rule 4: a server just started holds more than one of each gateway"
-        plan = PLANS[ask.plan]
-        if plan.ceiling_rate and not known["sent"]:
-            tokens, at = self.stores.get(ask.customer, (plan.ceiling_burst, self.now))
-            tokens = min(plan.ceiling_burst, tokens + (self.now - at) * plan.ceiling_rate / SECOND) - ask.units
-            self.stores[ask.customer] = tokens, self.now
-            assert tokens >= -plan.ceiling_slack, "rule 5: past the ceiling"
-        number = known["sent"]
-        known["sent"] += 1
-        known["out"][number], known["maybe"][number] = server, (server, self.now)
+        known["maybe"][number] = server, self.now
         status = dice.choices(list(Status), (80, 0, 0, 2, 2, 4, 4, 4) if self.trouble else (1, 0, 0, 0, 0, 0, 0, 0))[0]
         left = known["dl"] - self.now
         took = left if status == Status.TIMED_OUT else min(left, dice.randint(300, 3_000))
@@ -190,10 +235,10 @@
             index = (customer + dice.randrange(spread)) % self.count
             self.next_rpc += 1
             left = dice.choice((0.5, 0.8, 1.0))
-            method = dice.randrange(len(METHODS))
+            method = dice.randrange(len(self.methods))
             if self.now >= self.down_until[index]:
                 self.give(index, arrival(self.next_rpc, customer, method, customer % len(PLANS), 1.0,
-                                         customer % self.count, spread, int(METHODS[method].deadline * left)))
+                                         customer % self.count, spread, int(self.methods[method].deadline * left)))
             if self.trouble and dice.random() < 1 / per_second:
                 self.disturb()
             until = self.now + dice.randrange(1, 2 * SECOND // per_second)
