Show that idle clients that fill the descriptors leave one to the watch

Ruled out, by a test on the program: with 400 idle clients, and others that connect anew as often as they are closed, the watch of a discovery that was down is taken up within six seconds of its return, descriptors stay within the limit and nothing spins.

--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -270,3 +270,49 @@
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down_and_the_news_still_comes(world):
+    """Clients connect anew as often as they are closed. The watch gets a descriptor, and nothing spins."""
+    def drop(handler, body):
+        handler.close_connection = True
+
+    def crowd():
+        held = []
+        while not over.is_set():
+            try:
+                held.append(opened(w.at, 0.2))
+            except OSError:
+                time.sleep(0.01)
+            while len(held) > 150:
+                held.pop(0).close()
+        for sock in held:
+            sock.close()
+
+    def spent():
+        with open(f"/proc/{w.process.pid}/stat") as file:
+            return sum(map(int, file.read().rpartition(")")[2].split()[11:13])) / os.sysconf("SC_CLK_TCK")
+
+    over = threading.Event()
+    with world(echo, echo) as w:
+        w.discovery.act = drop
+        threads = [threading.Thread(target=crowd) for _ in range(3)]
+        for thread in threads:
+            thread.start()
+        time.sleep(3)
+        assert 120 < len(os.listdir(f"/proc/{w.process.pid}/fd")) <= 256
+        over.set()      # from here on they only hold what they have, and reopen nothing
+        for thread in threads:
+            thread.join()
+        idle = [opened(w.at) for _ in range(400)]
+        before, begun = spent(), time.monotonic()
+        w.discovery.change([w.list[0] | {"state": "removed"}, w.list[1]])
+        w.discovery.act = w.discovery.tell
+        asked = len(w.discovery.seen)
+        assert until(lambda: len(w.discovery.seen) > asked + 1) and time.monotonic() - begun < 6
+        assert spent() - before < 0.8 * (time.monotonic() - begun) + 0.3, "it spins"
+        time.sleep(0.2)
+        seen = len(w.servers[0].seen)
+        assert all(rpc(w.at)[0] == 200 for _ in range(4)) and len(w.servers[0].seen) == seen
+        for sock in idle:
+            sock.close()
