Start as before, without a trap, and take no signal while Python itself ends

Also seen by the test: at the very end Python resets its handlers, and a SIGHUP there ended the process with its status: both are ignored once all is answered.

--- a/oakfork/early.py
+++ b/oakfork/early.py
@@ -1,5 +1,5 @@
 """Signals that come before the gateway can heed them, or when it no longer does. Imports little, so that it is in
-place within the first milliseconds of a process; `run` of the deploy file has SIGHUP ignored until then."""
+place before anything large is loaded: earlier than that, while Python itself starts, SIGHUP still ends the process."""
 import os
 import signal
 from types import FrameType
@@ -13,6 +13,12 @@
     signal.signal(signal.SIGTERM, _end)
 
 
+def done() -> None:
+    """All is answered. Python's end would give both signals back to the system: one would end it with its status."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+
+
 def taken() -> bool:
     """Whether a SIGHUP came meanwhile; it counts as heeded from here on."""
     came = bool(hangups)
--- a/oakfork/serving.py
+++ b/oakfork/serving.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from oakfork import early
 from oakfork.errors import ConfigurationError, lines
 from oakfork.sockets import configuration, gateway
 
@@ -30,3 +31,4 @@
     gc.freeze()
     gc.set_threshold(7_000, 10, 10)
     trio.run(gateway.run, here)
+    early.done()
