--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
 """A client that closes its connection has gone: no attempt may begin later than 0.1 s after the close.
 
-One gateway with 256 descriptors and four servers. Twenty times a second a usual client opens a connection, sends one request
-that may not be repeated, waits for half of the method's deadline and closes. Every 5 s two bad clients open 240
+One gateway with 256 descriptors and four servers. Forty times a second a usual client opens a connection, sends one request
+that may not be repeated, waits for half of the method's deadline and closes. Every 5 s two bad clients open 280
 connections each, all at once, and say nothing; they keep each until the gateway closes it.
 """
 
@@ -18,8 +18,8 @@
 CLASSES = [s.method("read", 500, 1000, "read_like"), s.method("hand", 500, 1000, "non_idempotent")]
 GONE = 0.1  # seconds after a close up to which an attempt may begin
 LATER = 0.5  # seconds after its time up to which an answer only earns nothing
-BURSTS = 6
-SILENT = 240  # connections of one bad client
+BURSTS = 8
+SILENT = 280  # connections of one bad client
 
 
 async def usual_client(record, port, results):
@@ -71,13 +71,13 @@
 
     try:
         await gateways.start_all()
-        for step in range(BURSTS * 100):  # of 50 ms
-            if step % 100 == 20 and s.trouble():
+        for step in range(BURSTS * 200):  # of 25 ms
+            if step % 200 == 40 and s.trouble():
                 record(f"two bad clients open {SILENT} connections each and say nothing")
                 for _ in range(2 * SILENT):
                     start(silent_connection(port))
             start(usual_client(record, port, results))
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.025)
         await asyncio.sleep(3)
     finally:
         gateways.stop()
