Review: the cases leave no process or file behind, also when they are ended early

Python wrote its cache beside the stand-ins, outside the folder of a case, and a SIGTERM to a script left the gateways running. What the cases check is unchanged.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -342,9 +343,7 @@
         for process in self.processes:
             if process is not None:
                 process.wait()
-        for path in self.folder.iterdir():
-            path.unlink()
-        self.folder.rmdir()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Answer:
@@ -417,6 +416,9 @@
 def main(case, folder):
     """Runs a case, which returns a list of breaks, within 115 s; ends with 1 if there are some, 0 if none, 2 on error."""
     record = Record(folder)
+    signal.signal(signal.SIGINT, signal.default_int_handler)  # ignored where a shell started it in the background
+    for number in (signal.SIGTERM, signal.SIGHUP):  # the gateways are ended then too
+        signal.signal(number, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         breaks = asyncio.run(asyncio.wait_for(case(record), 115))
     except BaseException as error:  # noqa: BLE001 - whatever it was, the case has not run
