Split one connection of a client off the file of all of them

ClientConnection moves to client_connection.py; what it shares with the others is a Protocol there, so that the two files do not import each other. The headers of an answer are a method of Answer.

--- a/oakfork/lab/scale/traced_gateway.py
+++ b/oakfork/lab/scale/traced_gateway.py
@@ -82,7 +82,7 @@
         """The functions that are wrapped, each with its wrapper."""
         from oakfork.decision.quotas import Quotas
         from oakfork.decision.rpcs import DecisionModule
-        from oakfork.sockets.client_connections import ClientConnection
+        from oakfork.sockets.client_connection import ClientConnection
         from oakfork.sockets.decision_loop import DecisionLoop
         from oakfork.sockets.exchange import Exchange
         from oakfork.sockets.http_connection import HttpConnection
--- a/oakfork/sockets/client_connections.py
+++ b/oakfork/sockets/client_connections.py
@@ -1,32 +1,23 @@
-"""Connections of clients: accepts them, reads RPCs, writes answers and closes what is idle, slow or broken."""
+"""All connections of clients: accepts them, makes room for new ones and closes what is idle."""
 
-import contextlib
 import errno
 import itertools
 import socket
 from typing import Any, Awaitable, Callable
 
-import h11
 import trio
 from structlog.stdlib import BoundLogger
 
-from oakfork.errors import BadRequestError, ConnectionFailedError
+from oakfork.sockets.client_connection import ClientConnection
 from oakfork.sockets.configuration import GatewayConfiguration
-from oakfork.sockets.exchange import Answer, Exchange
-from oakfork.sockets.http_connection import LARGEST_BODY, HttpConnection, HttpMessage
-from oakfork.sockets.messages import ClientLeft, LoopEvent, RpcReceived, enqueue
-from oakfork.sockets.outcomes import Outcome
+from oakfork.sockets.exchange import Exchange
+from oakfork.sockets.messages import LoopEvent
 
 BACKLOG = 512  # connections that the system accepts before the gateway does
 ACCEPT_RETRY_PAUSE = 0.02  # seconds between attempts to accept while there is no room or no descriptor
 # Seconds that a connection stays open after its start or its last answer, even if others need the room.
 KEEP_ALIVE_GRACE = 0.25
-REQUEST_TIMEOUT = 2.0  # seconds for a whole request, from its first bytes, or from the start of the connection
 IDLE_TIMEOUT = 2.0  # seconds after the last answer; some clients never close their connections
-LINGER_TIMEOUT = 1.0  # seconds that a half-closed connection is read, so that no reset overtakes its last answer
-DISCARD_PAUSE = 0.01  # seconds between reads of bytes that are discarded: bounds a client to 6 MB/s of them
-METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))  # the answers to these have plain bodies
-STATUS_OF_FAULT = {Outcome.MALFORMED: 400, Outcome.OVERSIZED: 413, Outcome.SILENT: 408}
 
 
 class ClientConnections:
@@ -155,7 +146,7 @@
         self.leaving = True
         self._close_idle(KEEP_ALIVE_GRACE, self.max_open)
 
-    def remove(self, client: "ClientConnection | None") -> None:
+    def remove(self, client: ClientConnection | None) -> None:
         """Forgets a closed connection; None after the listener was closed."""
         self.open.discard(client)
         self.idle.pop(client, None)
@@ -165,224 +156,3 @@
         # rule at a gateway that few clients use: `empty` is set only once the listener is closed.
         if self.listener_closed and not self.open:
             self.empty.set()
-
-
-class ClientConnection:
-    """One connection of a client. Its task only receives; the task that has an answer writes it at once."""
-
-    def __init__(self, connections: ClientConnections, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.connections = connections
-        self.link = HttpConnection(sock, h11.SERVER)
-        self.scope = trio.CancelScope()  # cancelled to close the connection, or to end its lingering
-        self.is_new = True  # no complete request has come yet
-        self.exchange: Exchange | None = None  # not answered yet
-        self.active_at = trio.current_time()  # its start or its last answer
-        self.writing = False  # the rest of an answer is still being written
-        self.written = trio.Event()  # set when that ends, or when the exchange is answered
-        self.flooded = False  # so much was sent behind an RPC that the rest is discarded
-
-    async def serve(self) -> None:
-        """Receives requests until the client or this side ends the connection, and closes it."""
-        client_left = False
-        try:
-            while not client_left:
-                with self.scope:
-                    await self._receive()
-                    client_left = True
-                if not client_left and (self.scope.deadline > trio.current_time() or not self._receive_at_timeout()):
-                    break
-        except ConnectionFailedError:
-            client_left = True
-        finally:
-            self.connections.idle.pop(self, None)
-            if self.exchange:  # the exchange must know of it before anything else is done
-                self._leave_exchange()
-            try:
-                if not client_left:
-                    await self._linger()
-            finally:
-                trio.lowlevel.notify_closing(self.link.sock)
-                self.link.close()
-                self.connections.remove(self)
-
-    def _leave_exchange(self) -> None:
-        self.exchange.waiting.remove(self._answer)
-        if not self.exchange.waiting:
-            del self.connections.unanswered[self.exchange.id]
-            enqueue(self.connections.queue, ClientLeft(self.exchange))
-        self.exchange = None
-
-    async def _receive(self) -> None:
-        """Reads requests until the client ends its sending: by the protocol it has left then, even in mid-request."""
-        while True:
-            if self.link.buffered > LARGEST_BODY and self.exchange:
-                # Guards against not seeing the end of a client that has sent much: its RPC would be sent on.
-                self.flooded = True
-                if not await self.link.discard(DISCARD_PAUSE):
-                    return
-                continue
-            if self.link.buffered > LARGEST_BODY and self.writing:
-                self.written = trio.Event()  # the client sends and does not read: nothing more is received for now
-                await self.written.wait()
-            if not await self.link.fill():
-                return
-            self._process_received()
-
-    def _receive_at_timeout(self) -> bool:
-        """Ends a request that has begun and is not complete in time, with status 408.
-
-        Bytes that came in the same instant still count. Returns whether to go on receiving.
-        """
-        self.scope = trio.CancelScope()
-        if self.link.receive_available():
-            self._process_received()
-        if self.scope.cancel_called:
-            return False
-        if self.link.buffered and not self._busy():
-            self._write(Answer(STATUS_OF_FAULT[Outcome.SILENT], last=True))
-            return False
-        return True
-
-    async def _linger(self) -> None:
-        """Lingering close (RFC 9112, 9.6): half-closes, then discards what comes until the client ends its side too.
-
-        Guards against the reset that a close over unread bytes sends, which can destroy the answer written just before.
-        What is read here is never sent on: for the client the close crossed its request, which it sends again.
-        """
-        if self.writing:  # that has a timeout of its own
-            self.written = trio.Event()
-            await self.written.wait()
-        self.link.shut_down_sending()
-        self.scope = trio.CancelScope(deadline=trio.current_time() + LINGER_TIMEOUT)
-        self.connections.lingering[self] = None
-        with self.scope, contextlib.suppress(ConnectionFailedError):
-            while await self.link.discard(DISCARD_PAUSE):
-                pass
-
-    def _busy(self) -> bool:
-        return self.exchange is not None or self.writing
-
-    def close_if_idle(self) -> bool:
-        """Closes the connection unless something has come that is not answered, read or not; returns whether."""
-        idle = not self._busy() and not self.link.buffered and self.link.is_reusable()
-        if idle:
-            self.scope.cancel()
-        return idle
-
-    def _process_received(self) -> None:
-        """Handles the complete requests that were received, one at a time."""
-        try:
-            while not self._busy() and (message := self.link.parse()):
-                self.connections.idle.pop(self, None)
-                self.is_new = False
-                if self.scope.deadline != float("inf"):
-                    self.scope.deadline = float("inf")
-                self._take(message)
-        except ConnectionFailedError as error:
-            if error.outcome in STATUS_OF_FAULT:
-                self._write(Answer(STATUS_OF_FAULT[error.outcome]))
-            self.scope.cancel()
-            return
-        if self.link.buffered and not self._busy():
-            self._expect_rest()
-
-    def _expect_rest(self) -> None:
-        """Starts the timeout of a request that has begun, and asks for its body if the client waits for that."""
-        if self.scope.deadline == float("inf"):
-            self.connections.idle.pop(self, None)
-            self.scope.deadline = (self.active_at if self.is_new else trio.current_time()) + REQUEST_TIMEOUT
-        if self.link.http.they_are_waiting_for_100_continue:
-            self.link.put(h11.InformationalResponse(status_code=100, headers=[]))
-
-    def _take(self, message: HttpMessage) -> None:
-        path = message.head.target.partition(b"?")[0]
-        if message.head.method not in METHODS:
-            self._write(Answer(405))
-        elif path == b"/-/ready":
-            self._write(Answer(503 if self.connections.leaving else 200))
-        elif path.startswith(b"/-/"):
-            self._write(Answer(404))
-        else:
-            self._take_rpc(message)
-
-    def _take_rpc(self, message: HttpMessage) -> None:
-        configuration = self.connections.configuration
-        try:
-            exchange = Exchange(message, configuration.names, configuration.settings, self._answer)
-        except BadRequestError as error:
-            # Guards against bad requests by the hundred: one is answered, and what comes after it is never read.
-            self._write(Answer(400, str(error).encode() + b"\n", b"text/plain", last=True))
-            return
-        self.exchange = self.connections.unanswered.setdefault(exchange.id, exchange)
-        if self.exchange is exchange:
-            enqueue(self.connections.queue, RpcReceived(exchange))
-        elif self.exchange.same(exchange):
-            # Guards against a close that crossed the request: the client sends it again while the first one is still
-            # open here. It runs once, and its answer goes to each connection that still waits.
-            self.exchange.waiting.append(self._answer)
-        else:  # a different request with that id: a server would take it for a second copy
-            self.exchange = None
-            self._write(Answer(409, last=True))
-
-    def _answer(self, answer: Answer) -> None:
-        self.connections.unanswered.pop(self.exchange.id, None)
-        self.exchange = None
-        self.written.set()
-        try:
-            self._write(answer)
-            if self.link.buffered and not self.writing:  # the next request came before this answer
-                self._process_received()
-        except ConnectionFailedError:
-            self.scope.cancel()
-
-    def _write(self, answer: Answer) -> None:
-        """Writes an answer; what the socket has no room for is written by another task."""
-        if self.link.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        last = self._is_last(answer)
-        headers = _answer_headers(answer, last)
-        self.active_at = trio.current_time()
-        unsent = self.link.put(h11.Response(status_code=answer.status, headers=headers), answer.body)
-        last = not self.link.renew() or last
-        if unsent:
-            self.writing = True
-            self.connections.start(self._write_rest, unsent, last)
-        elif last:
-            self.scope.cancel()
-        elif not self.link.buffered:
-            self.connections.idle[self] = self.active_at
-
-    def _is_last(self, answer: Answer) -> bool:
-        connections = self.connections
-        return answer.last or self.flooded or connections.leaving or len(connections.open) >= connections.max_open
-
-    async def _write_rest(self, unsent: list[memoryview], last: bool) -> None:
-        timeout = self.connections.configuration.longest_deadline
-        with trio.CancelScope(deadline=trio.current_time() + timeout) as scope:
-            try:
-                await self.link.drain(unsent)
-            except (ConnectionFailedError, OSError, trio.ClosedResourceError):
-                last = True
-        self.writing = False
-        self.written.set()
-        if last or scope.cancelled_caught or self.connections.leaving:
-            self.scope.cancel()
-        elif self.link.buffered:
-            with contextlib.suppress(ConnectionFailedError):
-                self._process_received()
-        else:
-            self.connections.idle[self] = trio.current_time()
-
-
-def _answer_headers(answer: Answer, last: bool) -> list[tuple[bytes, bytes]]:
-    headers = [(b"content-length", b"%d" % len(answer.body))]
-    if answer.content_type:
-        headers.append((b"content-type", answer.content_type))
-    if answer.retry_after:
-        is_integer = answer.retry_after == int(answer.retry_after)  # RFC 9110 has integers; decimals only where needed
-        headers.append((b"retry-after", (b"%d" if is_integer else b"%.3f") % answer.retry_after))
-    if last:
-        headers.append((b"connection", b"close"))
-    return headers
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -50,6 +50,18 @@
     retry_after: float = 0.0  # seconds; 0: no advice
     last: bool = False  # the connection is closed after it
 
+    def headers(self, closes: bool) -> list[Header]:
+        """The headers of this answer; `closes`: the connection is closed after it, for whatever reason."""
+        headers = [(b"content-length", b"%d" % len(self.body))]
+        if self.content_type:
+            headers.append((b"content-type", self.content_type))
+        if self.retry_after:
+            is_integer = self.retry_after == int(self.retry_after)  # RFC 9110 has integers; decimals only where needed
+            headers.append((b"retry-after", (b"%d" if is_integer else b"%.3f") % self.retry_after))
+        if closes:
+            headers.append((b"connection", b"close"))
+        return headers
+
 
 class CallOut:
     """One call-out of an RPC, from the decision to send it until it has ended.
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -13,7 +13,8 @@
 from client_sockets import client_listener, open_socket, read_to_end
 from fake_services import echo, request_bytes, rpc, settings, until
 
-from oakfork.sockets.client_connections import IDLE_TIMEOUT, LINGER_TIMEOUT, ClientConnection
+from oakfork.sockets.client_connection import LINGER_TIMEOUT, ClientConnection
+from oakfork.sockets.client_connections import IDLE_TIMEOUT
 from oakfork.sockets.exchange import Answer
 from oakfork.sockets.messages import ClientLeft, RpcReceived
 
--- a/tests/test_scale_tracing.py
+++ b/tests/test_scale_tracing.py
@@ -17,7 +17,7 @@
     "oakfork.sockets.http_connection.HttpConnection.fill": "coroutine",
     "oakfork.sockets.http_connection.HttpConnection.write": "coroutine",
     "oakfork.sockets.http_connection.HttpConnection._push": "plain",
-    "oakfork.sockets.client_connections.ClientConnection._take": "plain",
+    "oakfork.sockets.client_connection.ClientConnection._take": "plain",
     "oakfork.sockets.exchange.Exchange.answer": "plain",
     "oakfork.sockets.decision_loop.DecisionLoop._take": "plain",
     "oakfork.sockets.decision_loop.DecisionLoop._send": "plain",
