Answer requests read late in a shutdown before the process ends

Callers saw: in a planned restart with servers that hang, requests that came 0.73 to 0.9 s after SIGTERM reached a server, and their connections were closed 3.7 s after SIGTERM with no answer.

Cause: gateway.run() cancelled everything the longest deadline and 0.7 s after SIGTERM. Connections are accepted for 0.6 s and stay open for up to half a second more; an RPC read on them kept its whole deadline, which lay behind that end. With deadlines under 3 s the process lived on, but SIGKILL may come the longest deadline (3 s at most) and 0.7 s after SIGTERM.

Why this works: the time of an RPC that is read later than 0.5 s after SIGTERM ends 0.2 s before the earliest SIGKILL, in its own deadline, in what servers are told and in the time that the decision module gets, so the module answers it as at any deadline. Earlier ones end before the process does. What is open a tenth of a second before the end all the same is answered with 502, and the decision loop is told, so that nothing more is sent for it.

--- a/oakfork/sockets/client_connection.py
+++ b/oakfork/sockets/client_connection.py
@@ -27,7 +27,6 @@
     configuration: GatewayConfiguration
     queue: trio.MemorySendChannel[LoopEvent]
     max_open: int
-    leaving: bool  # the gateway shuts down: each answer is the last of its connection
     open: "set[ClientConnection]"
     # Open connections on which nothing has begun, and since when; the longest idle one first.
     idle: "dict[ClientConnection, float]"
@@ -35,6 +34,13 @@
     lingering: "dict[ClientConnection, None]"
     unanswered: dict[bytes, Exchange]  # by the id of the RPC
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the gateway shuts down: each answer is the last of its connection then."""
+
+    def latest_answer(self) -> float:
+        """Until when an RPC that is read now has to be answered, on trio's clock, apart from its own deadline."""
+
     def start(self, task: Callable[..., Awaitable[None]], *args: Any) -> None:
         """Starts a task of one connection, whose failure ends that connection only."""
 
@@ -190,6 +196,7 @@
             # Guards against bad requests by the hundred: one is answered, and what comes after it is never read.
             self._write(Answer(400, str(error).encode() + b"\n", b"text/plain", last=True))
             return
+        exchange.limit(self.connections.latest_answer())
         self.exchange = self.connections.unanswered.setdefault(exchange.id, exchange)
         if self.exchange is exchange:
             enqueue(self.connections.queue, RpcReceived(exchange))
--- a/oakfork/sockets/client_connections.py
+++ b/oakfork/sockets/client_connections.py
@@ -2,6 +2,7 @@
 
 import errno
 import itertools
+import math
 import socket
 from typing import Any, Awaitable, Callable
 
@@ -10,8 +11,9 @@
 
 from oakfork.sockets.client_connection import ClientConnection
 from oakfork.sockets.configuration import GatewayConfiguration
-from oakfork.sockets.exchange import Exchange
-from oakfork.sockets.messages import LoopEvent
+from oakfork.sockets.exchange import Answer, Exchange
+from oakfork.sockets.messages import ClientLeft, LoopEvent, enqueue
+from oakfork.sockets.shutdown import Shutdown
 
 BACKLOG = 512  # connections that the system accepts before the gateway does
 ACCEPT_RETRY_PAUSE = 0.02  # seconds between attempts to accept while there is no room or no descriptor
@@ -42,7 +44,7 @@
         self.queue = queue
         self.nursery = nursery
         self.log = log
-        self.leaving = False  # the gateway shuts down: each answer is the last of its connection
+        self.shutdown: Shutdown | None = None
         self.limit_reached = False  # and logged
         self.listener_closed = False
         self.open: set[ClientConnection] = set()
@@ -56,6 +58,15 @@
         self.sock = sock
         self.sock.listen(BACKLOG)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the gateway shuts down: each answer is the last of its connection then."""
+        return self.shutdown is not None
+
+    def latest_answer(self) -> float:
+        """Until when an RPC that is read now has to be answered, on trio's clock, apart from its own deadline."""
+        return self.shutdown.latest_answer() if self.shutdown else math.inf
+
     async def run(self) -> None:
         """Accepts connections until `accepting` is cancelled, then closes the listener."""
         with self.accepting:
@@ -138,14 +149,23 @@
             await trio.sleep(KEEP_ALIVE_GRACE)
             self._close_idle(KEEP_ALIVE_GRACE if self.leaving else IDLE_TIMEOUT, self.max_open)
 
-    def leave(self) -> None:
+    def leave(self, shutdown: Shutdown) -> None:
         """Begins to shut down: each answer is the last of its connection from now on, and idle connections close.
 
         Connections whose first or next request may be on its way have KEEP_ALIVE_GRACE; the sweep closes them.
         """
-        self.leaving = True
+        self.shutdown = shutdown
         self._close_idle(KEEP_ALIVE_GRACE, self.max_open)
 
+    def abort_unanswered(self) -> None:
+        """Answers all open RPCs with 502, which promises nothing, and has nothing more sent for them.
+
+        Guards against a process that ends before RPCs whose decisions come late.
+        """
+        for exchange in list(self.unanswered.values()):
+            exchange.answer(Answer(502))
+            enqueue(self.queue, ClientLeft(exchange))
+
     def remove(self, client: ClientConnection | None) -> None:
         """Forgets a closed connection; None after the listener was closed."""
         self.open.discard(client)
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -137,6 +137,12 @@
         if message.body or message.head.method != b"GET":
             self.headers.append((b"content-length", b"%d" % len(message.body)))
 
+    def limit(self, end: float) -> None:
+        """Shortens the time of the RPC so that it ends by `end`, on trio's clock."""
+        if end < self.until:
+            self.until = end
+            self.time_left = max(0, int((end - self.received) * 10_000))
+
     def answer(self, answer: Answer) -> None:
         """Sends the answer to each connection that waits for it, once."""
         waiting, self.waiting = self.waiting, []
--- a/oakfork/sockets/gateway.py
+++ b/oakfork/sockets/gateway.py
@@ -23,6 +23,7 @@
 from oakfork.sockets.messages import LoopEvent, ServersListed, enqueue
 from oakfork.sockets.peers import PeerSocket
 from oakfork.sockets.server_connections import ServerConnections
+from oakfork.sockets.shutdown import ACCEPT_AFTER_SIGTERM, LAST_ANSWERS_TIME, Shutdown
 
 if TYPE_CHECKING:
     from oakfork.fleet.services import FleetServices
@@ -33,13 +34,10 @@
 # The largest answer, as a fraction of the memory: the program takes a third of it, and only few answers are so large at
 # the same time.
 MEMORY_PER_ANSWER = 64
-ACCEPT_AFTER_SIGTERM = 0.6  # seconds in which new connections are still accepted; clients open some for 0.4 s
 # A new configuration that is not usable may be half written: it is read so often, with pauses of so many seconds. It
 # must be in force four seconds after SIGHUP.
 REREAD_ATTEMPTS = 13
 REREAD_PAUSE = 0.25
-MIN_DRAIN_TIME = 3.0  # seconds from SIGTERM for which RPCs are waited for, even if all deadlines are shorter
-SHUTDOWN_MARGIN = 0.7  # seconds beyond the longest deadline after which the process ends in any case, by the protocol
 
 
 def logger(name: str) -> BoundLogger:
@@ -106,18 +104,25 @@
             nursery.start_soon(_receive_signals, signals, shutdown, discovery, counter, fleet, log)
             await shutdown.wait()
             log.info("leaving", connections=len(clients.open))
-            clients.leave()
             if fleet:
                 nursery.start_soon(fleet.leave)
-            await trio.sleep(ACCEPT_AFTER_SIGTERM)
-            clients.accepting.cancel()
-            drain_time = max(MIN_DRAIN_TIME, configuration.longest_deadline) + SHUTDOWN_MARGIN
-            with trio.move_on_after(drain_time - ACCEPT_AFTER_SIGTERM):
-                await clients.empty.wait()
+            await _drain(clients, Shutdown(configuration.longest_deadline))
             nursery.cancel_scope.cancel()
     log.info("left")
 
 
+async def _drain(clients: ClientConnections, shutdown: Shutdown) -> None:
+    """Returns once everything that clients have sent is answered, or when the process has to end."""
+    clients.leave(shutdown)
+    await trio.sleep_until(shutdown.began_at + ACCEPT_AFTER_SIGTERM)
+    clients.accepting.cancel()
+    with trio.move_on_at(shutdown.end - LAST_ANSWERS_TIME):
+        await clients.empty.wait()
+    clients.abort_unanswered()
+    with trio.move_on_at(shutdown.end):
+        await clients.empty.wait()
+
+
 def _fleet(
     configuration: GatewayConfiguration, log: BoundLogger, queue: trio.MemorySendChannel[LoopEvent]
 ) -> "FleetServices | None":
--- a/tests/client_sockets.py
+++ b/tests/client_sockets.py
@@ -38,8 +38,8 @@
 
 
 @contextmanager
-def client_listener(tmp_path):
-    """A listener of client connections without a decision loop.
+def client_listener(tmp_path, **changes):
+    """A listener of client connections without a decision loop; `changes` replace keys of the configuration.
 
     Yields a function that makes the ClientConnections in a nursery, the address, and the inbox of their messages.
     """
@@ -49,7 +49,7 @@
 
     def make_clients(nursery, max_open=50):
         return ClientConnections(
-            read_test_configuration(tmp_path), listener, max_open, queue, nursery, structlog.get_logger()
+            read_test_configuration(tmp_path, **changes), listener, max_open, queue, nursery, structlog.get_logger()
         )
 
     yield make_clients, listener.getsockname(), inbox
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -6,7 +6,6 @@
 import threading
 import time
 from contextlib import closing
-from types import SimpleNamespace
 
 import pytest
 import trio
@@ -17,6 +16,7 @@
 from oakfork.sockets.client_connections import IDLE_TIMEOUT
 from oakfork.sockets.exchange import Answer
 from oakfork.sockets.messages import ClientLeft, RpcReceived
+from oakfork.sockets.shutdown import Shutdown
 
 BAD_REQUEST = request_bytes(**{"X-Lane": "nothing"})
 
@@ -120,16 +120,14 @@
                 socks = [socket.create_connection(address) for _ in range(5)]
                 for number, sock in enumerate(socks):
                     sock.sendall(request_bytes(**{"X-Txn": str(number)}))
-                clients.leaving = True
+                clients.shutdown = Shutdown(clients.configuration.longest_deadline)
                 clients.accepting.cancel()  # before a single one was accepted
                 await clients.run()
                 with trio.fail_after(2):
                     messages = [await inbox.receive() for _ in socks]
                 assert sorted(message.exchange.id for message in messages) == [b"0", b"1", b"2", b"3", b"4"]
                 for message in messages:
-                    message.exchange.answer(
-                        SimpleNamespace(status=503, body=b"", content_type=None, retry_after=0.0, last=False)
-                    )
+                    message.exchange.answer(Answer(503))
                 for sock in socks:
                     sock.settimeout(2)
                     assert (await trio.to_thread.run_sync(read_to_end, sock)).startswith(b"HTTP/1.1 503")
