Begin no call-out for a client whose end is in its socket already

Callers saw: requests that may not be repeated ran at servers up to 0.65 s after their clients had given up and closed, where silent clients took all places and the usual ones waited to be accepted.

Cause: such a connection has the request and the client's end in its socket when it is accepted. _take_rpc queued the request as soon as it was read; the end was read a turn later, when the decision loop and the call-out may have had theirs.

Why this works: client_has_left() receives what has come, up to the end, before an RPC is taken and again before the first byte of a call-out. The second place is a related path: a gateway that was held up can find the client's end and the server's connection in one turn.

--- a/oakfork/sockets/client_connection.py
+++ b/oakfork/sockets/client_connection.py
@@ -9,14 +9,14 @@
 
 from oakfork.errors import BadRequestError, ConnectionFailedError
 from oakfork.sockets.configuration import GatewayConfiguration
-from oakfork.sockets.exchange import Answer, Exchange
-from oakfork.sockets.http_connection import LARGEST_BODY, HttpConnection, HttpMessage
+from oakfork.sockets.exchange import Answer, Exchange, Waiter
+from oakfork.sockets.http_connection import LARGEST_BODY, HttpMessage
 from oakfork.sockets.messages import ClientLeft, LoopEvent, RpcReceived, enqueue
 from oakfork.sockets.outcomes import Outcome
+from oakfork.sockets.request_reader import RequestReader
 
 REQUEST_TIMEOUT = 2.0  # seconds for a whole request, from its first bytes, or from the start of the connection
 LINGER_TIMEOUT = 1.0  # seconds that a half-closed connection is read, so that no reset overtakes its last answer
-DISCARD_PAUSE = 0.01  # seconds between reads of bytes that are discarded: bounds a client to 6 MB/s of them
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))  # the answers to these have plain bodies
 STATUS_OF_FAULT = {Outcome.MALFORMED: 400, Outcome.OVERSIZED: 413, Outcome.SILENT: 408}
 
@@ -55,14 +55,14 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connections = connections
-        self.link = HttpConnection(sock, h11.SERVER)
+        self.link = RequestReader(sock)
+        self.waiter = Waiter(self._answer, self.link.client_has_left)
         self.scope = trio.CancelScope()  # cancelled to close the connection, or to end its lingering
         self.is_new = True  # no complete request has come yet
         self.exchange: Exchange | None = None  # not answered yet
         self.active_at = trio.current_time()  # its start or its last answer
         self.writing = False  # the rest of an answer is still being written
         self.written = trio.Event()  # set when that ends, or when the exchange is answered
-        self.flooded = False  # so much was sent behind an RPC that the rest is discarded
 
     async def serve(self) -> None:
         """Receives requests until the client or this side ends the connection, and closes it."""
@@ -89,7 +89,7 @@
                 self.connections.remove(self)
 
     def _leave_exchange(self) -> None:
-        self.exchange.waiting.remove(self._answer)
+        self.exchange.waiting.remove(self.waiter)
         if not self.exchange.waiting:
             del self.connections.unanswered[self.exchange.id]
             enqueue(self.connections.queue, ClientLeft(self.exchange))
@@ -100,8 +100,8 @@
         while True:
             if self.link.buffered > LARGEST_BODY and self.exchange:
                 # Guards against not seeing the end of a client that has sent much: its RPC would be sent on.
-                self.flooded = True
-                if not await self.link.discard(DISCARD_PAUSE):
+                self.link.flooded = True
+                if not await self.link.discard():
                     return
                 continue
             if self.link.buffered > LARGEST_BODY and self.writing:
@@ -139,7 +139,7 @@
         self.scope = trio.CancelScope(deadline=trio.current_time() + LINGER_TIMEOUT)
         self.connections.lingering[self] = None
         with self.scope, contextlib.suppress(ConnectionFailedError):
-            while await self.link.discard(DISCARD_PAUSE):
+            while await self.link.discard():
                 pass
 
     def _busy(self) -> bool:
@@ -191,11 +191,14 @@
     def _take_rpc(self, message: HttpMessage) -> None:
         configuration = self.connections.configuration
         try:
-            exchange = Exchange(message, configuration.names, configuration.settings, self._answer)
+            exchange = Exchange(message, configuration.names, configuration.settings, self.waiter)
         except BadRequestError as error:
             # Guards against bad requests by the hundred: one is answered, and what comes after it is never read.
             self._write(Answer(400, str(error).encode() + b"\n", b"text/plain", last=True))
             return
+        # Guards against RPCs that waited, with the end of their client behind them, until the gateway came to read.
+        if self.link.client_has_left():
+            raise ConnectionFailedError(Outcome.ENDED)
         exchange.limit(self.connections.latest_answer())
         self.exchange = self.connections.unanswered.setdefault(exchange.id, exchange)
         if self.exchange is exchange:
@@ -203,7 +206,7 @@
         elif self.exchange.same(exchange):
             # Guards against a close that crossed the request: the client sends it again while the first one is still
             # open here. It runs once, and its answer goes to each connection that still waits.
-            self.exchange.waiting.append(self._answer)
+            self.exchange.waiting.append(self.waiter)
         else:  # a different request with that id: a server would take it for a second copy
             self.exchange = None
             self._write(Answer(409, last=True))
@@ -238,7 +241,7 @@
 
     def _is_last(self, answer: Answer) -> bool:
         connections = self.connections
-        return answer.last or self.flooded or connections.leaving or len(connections.open) >= connections.max_open
+        return answer.last or self.link.flooded or connections.leaving or len(connections.open) >= connections.max_open
 
     async def _write_rest(self, unsent: list[memoryview], last: bool) -> None:
         timeout = self.connections.configuration.longest_deadline
--- a/oakfork/sockets/decision_loop.py
+++ b/oakfork/sockets/decision_loop.py
@@ -286,7 +286,7 @@
             end = min(exchange.until, until / 10_000 - self.epoch)
         last_write = write_deadline / 10_000 - self.epoch if write_deadline else math.inf
         # One millisecond more: the module must receive the end after its deadline has passed, not just before.
-        call_out = CallOut(exchange.sent, server, end + 0.001, last_write)
+        call_out = CallOut(exchange.sent, server, end + 0.001, last_write, exchange.is_awaited)
         exchange.sent += 1
         if rpc_entry.answered or end <= trio.current_time():
             status = STATUS_OF_OUTCOME[Outcome.TOO_LATE]
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -63,16 +63,27 @@
         return headers
 
 
+class Waiter(NamedTuple):
+    """A connection that waits for the answer of an RPC."""
+
+    answer: Callable[[Answer], None]  # writes the answer to the client
+    has_left: Callable[[], bool]  # whether the client has gone, as far as its socket shows now
+
+
 class CallOut:
     """One call-out of an RPC, from the decision to send it until it has ended.
 
     `until` and `write_deadline` are on trio's clock: when its answer must be there, and when it must be written.
+    `is_awaited` tells whether anybody still waits for the answer of its RPC.
     """
 
-    __slots__ = ("number", "server", "scope", "withdrawn", "begun", "write_deadline", "started")
+    __slots__ = ("number", "server", "scope", "withdrawn", "begun", "write_deadline", "started", "is_awaited")
 
-    def __init__(self, number: int, server: int, until: float, write_deadline: float) -> None:
+    def __init__(
+        self, number: int, server: int, until: float, write_deadline: float, is_awaited: Callable[[], bool]
+    ) -> None:
         self.number = number
+        self.is_awaited = is_awaited
         self.server = server
         self.scope = trio.CancelScope(deadline=until)
         self.write_deadline = write_deadline
@@ -91,23 +102,25 @@
             self.withdraw()
 
     def begin(self) -> bool:
-        """Whether it may be written, now that there is a connection. From here on it may have run."""
-        self.begun = not self.withdrawn and trio.current_time() <= min(self.write_deadline, self.scope.deadline)
+        """Whether it may be written, now that there is a connection. From here on it may have run.
+
+        Guards against call-outs that begin when the gateway was held up and has not yet been told of a client's end.
+        """
+        in_time = trio.current_time() <= min(self.write_deadline, self.scope.deadline)
+        self.begun = not self.withdrawn and in_time and self.is_awaited()
         return self.begun
 
 
 class Exchange:
     """An RPC from its head to its answer, with its call-outs.
 
-    `answer` writes the answer to the client. Raises BadRequestError if the head breaks the protocol.
+    `waiter` is the connection that it came on. Raises BadRequestError if the head breaks the protocol.
     """
 
-    def __init__(
-        self, message: HttpMessage, names: NameIndices, settings: GatewaySettings, answer: Callable[[Answer], None]
-    ) -> None:
+    def __init__(self, message: HttpMessage, names: NameIndices, settings: GatewaySettings, waiter: Waiter) -> None:
         self.received = trio.current_time()
         self.message = message
-        self.waiting = [answer]  # one for each connection that waits: the client may have sent the request again
+        self.waiting = [waiter]  # all connections that wait: the client may have sent the request again
         self.call_outs: dict[int, CallOut] = {}  # by number; those that have not ended
         self.sent = 0  # call-outs so far
         self.admitted = False  # it holds a leg of what contracts or sites allow
@@ -146,8 +159,12 @@
     def answer(self, answer: Answer) -> None:
         """Sends the answer to each connection that waits for it, once."""
         waiting, self.waiting = self.waiting, []
-        for write_answer in waiting:
-            write_answer(answer)
+        for waiter in waiting:
+            waiter.answer(answer)
+
+    def is_awaited(self) -> bool:
+        """Whether a client still waits for the answer."""
+        return not all(waiter.has_left() for waiter in self.waiting)
 
     def same(self, other: "Exchange") -> bool:
         """Whether the other is this request sent again, and not a different one with the same id."""
--- a/oakfork/sockets/http_connection.py
+++ b/oakfork/sockets/http_connection.py
@@ -84,42 +84,34 @@
 
     async def fill(self) -> bool:
         """Receives some bytes; False if the other side has ended its sending."""
-        while True:
+        data = None
+        while data is None:
             await trio.lowlevel.wait_readable(self.sock)
-            try:
-                data = self.sock.recv(RECEIVE_SIZE)
-            except BlockingIOError:
-                continue
-            except OSError:
-                raise ConnectionFailedError(Outcome.BROKEN) from None
-            self.buffered += len(data)
-            self.http.receive_data(data)
-            return bool(data)
+            data = self.receive()
+        self.received(data)
+        return bool(data)
 
-    def receive_available(self) -> bool:
-        """Receives what is there without waiting; returns whether there was something."""
+    def receive(self) -> bytes | None:
+        """Bytes that are there; None if there are none yet, and no bytes if the other side has ended its sending."""
         try:
-            data = self.sock.recv(RECEIVE_SIZE)
-        except OSError:  # nothing to read, or a broken connection, which the next wait reports
-            return False
+            return self.sock.recv(RECEIVE_SIZE)
+        except BlockingIOError:
+            return None
+        except OSError:
+            raise ConnectionFailedError(Outcome.BROKEN) from None
+
+    def received(self, data: bytes) -> None:
+        """Adds bytes to what is parsed next; no bytes stand for the end of the other side's sending."""
         self.buffered += len(data)
         self.http.receive_data(data)
-        return bool(data)
-
-    async def discard(self, pause: float) -> bool:
-        """Waits for bytes and discards them; False if the other side has ended its sending.
 
-        Sleeps `pause` seconds after each read, so that a peer that sends without end costs little.
-        """
-        await trio.lowlevel.wait_readable(self.sock)
+    def receive_available(self) -> bool:
+        """Receives what is there without waiting; returns whether there was something."""
         try:
             data = self.sock.recv(RECEIVE_SIZE)
-        except BlockingIOError:
-            return True
-        except OSError:
-            raise ConnectionFailedError(Outcome.BROKEN) from None
-        if data:
-            await trio.sleep(pause)
+        except OSError:  # nothing to read, or a broken connection, which the next wait reports
+            return False
+        self.received(data)
         return bool(data)
 
     def shut_down_sending(self) -> None:
--- /dev/null
+++ b/oakfork/sockets/request_reader.py
@@ -0,0 +1,49 @@
+"""Reads the requests of a client from its connection and sees when the client leaves."""
+
+import socket
+
+import h11
+import trio
+
+from oakfork.sockets.http_connection import LARGEST_BODY, RECEIVE_SIZE, HttpConnection
+
+DISCARD_PAUSE = 0.01  # seconds between reads of bytes that are discarded: bounds a client to 6 MB/s of them
+LAST_READS = 128  # reads in search of the end of a client, 8 MB; one that has sent more is taken for one that stays
+
+
+class RequestReader(HttpConnection):
+    """The connection of a client, as the side that answers."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, h11.SERVER)
+        self.flooded = False  # so much was sent behind an RPC that the rest is discarded
+
+    def client_has_left(self) -> bool:
+        """Whether the client has ended its sending, which is its leaving by the protocol, or has reset the connection.
+
+        Receives without waiting what has come before the end. What exceeds the largest body is discarded.
+        """
+        for _ in range(LAST_READS):
+            try:
+                data = self.sock.recv(RECEIVE_SIZE)
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+            if not data:
+                return True
+            self.flooded = self.flooded or self.buffered > LARGEST_BODY
+            if not self.flooded:
+                self.received(data)
+        return False
+
+    async def discard(self) -> bool:
+        """Waits for bytes and discards them; False if the client has ended its sending.
+
+        Pauses after each read, so that a client that sends without end costs little. Raises ConnectionFailedError.
+        """
+        await trio.lowlevel.wait_readable(self.sock)
+        data = self.receive()
+        if data:
+            await trio.sleep(DISCARD_PAUSE)
+        return data != b""
--- /dev/null
+++ b/tests/test_client_departures.py
@@ -0,0 +1,103 @@
+"""Clients that leave before or while their RPC is sent on: no call-out begins for them any more."""
+
+import socket
+import struct
+from contextlib import closing, contextmanager
+
+import pytest
+import trio
+import trio.testing
+from call_out_network import CallOutNetwork, written
+from client_sockets import client_listener
+from fake_services import request_bytes
+
+from oakfork.sockets.messages import RpcReceived
+
+
+def close(sock):
+    """Closes a connection in order."""
+    sock.close()
+
+
+def reset(sock):
+    """Closes a connection by a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def end_sending(sock):
+    """Ends the sending, which is a client's leaving by the protocol."""
+    sock.shutdown(socket.SHUT_WR)
+
+
+@contextmanager
+def waiting_clients(address, count, behind=b""):
+    """Connected sockets that have each sent an RPC, with the id of its number, and `behind` behind it."""
+    socks = [socket.create_connection(address) for _ in range(count)]
+    for number, sock in enumerate(socks):
+        sock.sendall(request_bytes(**{"X-Txn": str(number), "X-Remaining-Ms": "9000"}) + behind)
+    yield socks
+    for sock in socks:
+        sock.close()
+
+
+@pytest.mark.parametrize("leave", [close, reset, end_sending])
+@pytest.mark.parametrize("behind", [b"", b"GET / HTTP/1.1\r\n", bytes(100_000)], ids=len)
+def test_rpc_of_a_client_that_left_before_it_was_accepted_is_not_taken(tmp_path, leave, behind):
+    """Guards against sending on RPCs of clients that gave up while they waited in the listener's queue."""
+
+    async def main():
+        with client_listener(tmp_path) as (make_clients, address, inbox):
+            with waiting_clients(address, 9, behind) as socks:
+                for sock in socks[::2]:
+                    leave(sock)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(make_clients(nursery).run)
+                    await trio.testing.wait_all_tasks_blocked(0.05)
+                    received = []
+                    while inbox.statistics().current_buffer_used:
+                        received.append(inbox.receive_nowait())
+                    assert all(isinstance(message, RpcReceived) for message in received)
+                    assert sorted(message.exchange.id for message in received) == [b"1", b"3", b"5", b"7"]
+                    nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("leave", [close, reset, end_sending])
+@pytest.mark.parametrize("behind", [b"", bytes(3_000_000)], ids=len)
+def test_socket_shows_that_the_client_of_an_open_rpc_has_left(tmp_path, leave, behind):
+    """Guards against not seeing, just before a call-out begins, the end of a client that is in its socket already."""
+
+    async def main():
+        with client_listener(tmp_path) as (make_clients, address, inbox), waiting_clients(address, 2) as socks:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(make_clients(nursery).run)
+                exchanges = {}
+                for _ in socks:
+                    exchange = (await inbox.receive()).exchange
+                    exchanges[exchange.id] = exchange
+                await trio.to_thread.run_sync(socks[0].sendall, behind)
+                leave(socks[0])
+                # No task of the gateway has run since.
+                assert not exchanges[b"0"].is_awaited() and exchanges[b"1"].is_awaited()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("lane", ["read", "seal", "hand"])
+def test_call_out_does_not_begin_once_the_socket_shows_that_the_client_has_left(tmp_path, monkeypatch, lane):
+    """Guards against call-outs that begin when a gateway that was held up has not come to read its clients' ends."""
+
+    async def test(network):
+        network.ask(1, lane)
+        await network.settle()
+        [(_, established, theirs)] = network.connections
+        network.left.add(1)  # the decision loop has not been told
+        established.set()
+        await network.settle()
+        with closing(theirs):
+            assert written(theirs)[0] == b""
+
+    CallOutNetwork(tmp_path, monkeypatch).run(test)
