See the end of a client within a tenth of a second behind megabytes

Callers saw: a client that sends an RPC, then 2 or 4 MB, and goes has further attempts begun for it 0.23 s (2 MB) and 0.21 and 0.49 s (4 MB) after its close; 0.1 s is allowed.

Cause: bytes behind an RPC beyond 64 KiB were discarded at one read of 64 KiB each 10 ms (DISCARD_PAUSE), and the client's end stands behind them.

Why this works: sixteen reads between two pauses discard up to 100 MB/s, so that what the system holds of a client that has left is read in time. The pause stays: it bounds what one client that sends without end costs.

--- a/oakfork/sockets/request_reader.py
+++ b/oakfork/sockets/request_reader.py
@@ -7,7 +7,10 @@
 
 from oakfork.sockets.http_connection import LARGEST_BODY, RECEIVE_SIZE, HttpConnection
 
-DISCARD_PAUSE = 0.01  # seconds between reads of bytes that are discarded: bounds a client to 6 MB/s of them
+DISCARD_READS = 16  # reads of discarded bytes between two pauses
+# Seconds of each pause. A client is bounded to 100 MB/s of discarded bytes, so that the megabytes that the system holds
+# of a client that has left are read within a tenth of a second.
+DISCARD_PAUSE = 0.01
 LAST_READS = 128  # reads in search of the end of a client, 8 MB; one that has sent more is taken for one that stays
 
 
@@ -40,10 +43,14 @@
     async def discard(self) -> bool:
         """Waits for bytes and discards them; False if the client has ended its sending.
 
-        Pauses after each read, so that a client that sends without end costs little. Raises ConnectionFailedError.
+        Pauses after some reads, so that a client that sends without end costs little. Raises ConnectionFailedError.
         """
         await trio.lowlevel.wait_readable(self.sock)
-        data = self.receive()
-        if data:
-            await trio.sleep(DISCARD_PAUSE)
-        return data != b""
+        for _ in range(DISCARD_READS):
+            data = self.receive()
+            if data is None:
+                break
+            if not data:
+                return False
+        await trio.sleep(DISCARD_PAUSE)
+        return True
--- a/tests/test_client_departures.py
+++ b/tests/test_client_departures.py
@@ -11,7 +11,9 @@
 from client_sockets import client_listener
 from fake_services import request_bytes
 
-from oakfork.sockets.messages import RpcReceived
+from oakfork.sockets.messages import ClientLeft, RpcReceived
+
+MAX_DELAY = 0.1  # seconds after the end of a client in which a call-out may still begin
 
 
 def close(sock):
@@ -64,6 +66,27 @@
     trio.run(main)
 
 
+def test_end_of_a_client_that_sent_much_is_seen_in_time(tmp_path):
+    """Guards against call-outs for a client that has sent much behind its RPC and left: its end stands behind all that.
+
+    The clock of this test moves with the pauses of the gateway only.
+    """
+
+    async def main():
+        with client_listener(tmp_path) as (make_clients, address, inbox), waiting_clients(address, 1) as (sock,):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(make_clients(nursery).run)
+                received = await inbox.receive()
+                await trio.to_thread.run_sync(sock.sendall, bytes(6_000_000))
+                left_at = trio.current_time()
+                sock.close()
+                assert await inbox.receive() == ClientLeft(received.exchange)
+                assert trio.current_time() - left_at < MAX_DELAY
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.05))
+
+
 @pytest.mark.parametrize("leave", [close, reset, end_sending])
 @pytest.mark.parametrize("behind", [b"", bytes(3_000_000)], ids=len)
 def test_socket_shows_that_the_client_of_an_open_rpc_has_left(tmp_path, leave, behind):
