Keep no reference cycle in a connection of a client

Change: a Waiter is made when it is needed; two of the same connection are equal.

Test: test_connection_of_a_client_that_left_is_freed_at_once, both forms failed with a kept Waiter (trial on a copy).

--- a/oakfork/sockets/client_connection.py
+++ b/oakfork/sockets/client_connection.py
@@ -56,7 +56,6 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connections = connections
         self.link = RequestReader(sock)
-        self.waiter = Waiter(self._answer, self.link.client_has_left)
         self.scope = trio.CancelScope()  # cancelled to close the connection, or to end its lingering
         self.is_new = True  # no complete request has come yet
         self.exchange: Exchange | None = None  # not answered yet
@@ -64,6 +63,10 @@
         self.writing = False  # the rest of an answer is still being written
         self.written = trio.Event()  # set when that ends, or when the exchange is answered
 
+    def _waiter(self) -> Waiter:
+        """This connection as one that waits for an answer; equal each time. Kept here it would be a reference cycle."""
+        return Waiter(self._answer, self.link.client_has_left)
+
     async def serve(self) -> None:
         """Receives requests until the client or this side ends the connection, and closes it."""
         client_left = False
@@ -89,7 +92,7 @@
                 self.connections.remove(self)
 
     def _leave_exchange(self) -> None:
-        self.exchange.waiting.remove(self.waiter)
+        self.exchange.waiting.remove(self._waiter())
         if not self.exchange.waiting:
             del self.connections.unanswered[self.exchange.id]
             enqueue(self.connections.queue, ClientLeft(self.exchange))
@@ -191,7 +194,7 @@
     def _take_rpc(self, message: HttpMessage) -> None:
         configuration = self.connections.configuration
         try:
-            exchange = Exchange(message, configuration.names, configuration.settings, self.waiter)
+            exchange = Exchange(message, configuration.names, configuration.settings, self._waiter())
         except BadRequestError as error:
             # Guards against bad requests by the hundred: one is answered, and what comes after it is never read.
             self._write(Answer(400, str(error).encode() + b"\n", b"text/plain", last=True))
@@ -206,7 +209,7 @@
         elif self.exchange.same(exchange):
             # Guards against a close that crossed the request: the client sends it again while the first one is still
             # open here. It runs once, and its answer goes to each connection that still waits.
-            self.exchange.waiting.append(self.waiter)
+            self.exchange.waiting.append(self._waiter())
         else:  # a different request with that id: a server would take it for a second copy
             self.exchange = None
             self._write(Answer(409, last=True))
--- a/tests/test_client_departures.py
+++ b/tests/test_client_departures.py
@@ -1,7 +1,9 @@
 """Clients that leave before or while their RPC is sent on: no call-out begins for them any more."""
 
+import gc
 import socket
 import struct
+import weakref
 from contextlib import closing, contextmanager
 
 import pytest
@@ -11,6 +13,7 @@
 from client_sockets import client_listener
 from fake_services import request_bytes
 
+from oakfork.sockets.exchange import Answer
 from oakfork.sockets.messages import ClientLeft, RpcReceived
 
 MAX_DELAY = 0.1  # seconds after the end of a client in which a call-out may still begin
@@ -124,3 +127,31 @@
             assert written(theirs)[0] == b""
 
     CallOutNetwork(tmp_path, monkeypatch).run(test)
+
+
+@pytest.mark.parametrize("asks", [False, True])
+def test_connection_of_a_client_that_left_is_freed_at_once(tmp_path, asks):
+    """Guards against reference cycles, which keep the buffers of closed connections until the next collection."""
+
+    async def main():
+        with client_listener(tmp_path) as (make_clients, address, inbox):
+            async with trio.open_nursery() as nursery:
+                clients = make_clients(nursery)
+                nursery.start_soon(clients.run)
+                with closing(socket.create_connection(address)) as sock:
+                    if asks:
+                        sock.sendall(request_bytes())
+                    await trio.testing.wait_all_tasks_blocked(0.02)
+                    client = weakref.ref(*clients.open)
+                    if asks:
+                        inbox.receive_nowait().exchange.answer(Answer(503))
+                await trio.testing.wait_all_tasks_blocked(0.02)
+                assert client() is None
+                nursery.cancel_scope.cancel()
+
+    gc.collect()
+    gc.disable()
+    try:
+        trio.run(main)
+    finally:
+        gc.enable()
