Count a request's time from when its last byte came

Cause: Exchange.received was the moment of parsing, whatever the request had waited before that.

Slow clients keep their time: it counts from the last byte. The time-out of half a request on a new connection begins with its first byte too.

--- a/oakfork/sockets/client_connection.py
+++ b/oakfork/sockets/client_connection.py
@@ -176,7 +176,9 @@
         """Starts the timeout of a request that has begun, and asks for its body if the client waits for that."""
         if self.scope.deadline == float("inf"):
             self.connections.idle.pop(self, None)
-            self.scope.deadline = (self.active_at if self.is_new else trio.current_time()) + REQUEST_TIMEOUT
+            # What waited to be accepted has had its time from the first byte on.
+            begun_at = min(self.active_at, self.link.begun_at()) if self.is_new else trio.current_time()
+            self.scope.deadline = begun_at + REQUEST_TIMEOUT
         if self.link.http.they_are_waiting_for_100_continue:
             self.link.put(h11.InformationalResponse(status_code=100, headers=[]))
 
@@ -194,7 +196,8 @@
     def _take_rpc(self, message: HttpMessage) -> None:
         configuration = self.connections.configuration
         try:
-            exchange = Exchange(message, configuration.names, configuration.settings, self._waiter())
+            received = self.link.completed_at()
+            exchange = Exchange(message, configuration.names, configuration.settings, self._waiter(), received)
         except BadRequestError as error:
             # Guards against bad requests by the hundred: one is answered, and what comes after it is never read.
             self._write(Answer(400, str(error).encode() + b"\n", b"text/plain", last=True))
--- a/oakfork/sockets/exchange.py
+++ b/oakfork/sockets/exchange.py
@@ -114,11 +114,14 @@
 class Exchange:
     """An RPC from its head to its answer, with its call-outs.
 
-    `waiter` is the connection that it came on. Raises BadRequestError if the head breaks the protocol.
+    `waiter` is the connection that it came on, and `received` is when its last byte came, on trio's clock: its time
+    counts from there. Raises BadRequestError if the head breaks the protocol.
     """
 
-    def __init__(self, message: HttpMessage, names: NameIndices, settings: GatewaySettings, waiter: Waiter) -> None:
-        self.received = trio.current_time()
+    def __init__(
+        self, message: HttpMessage, names: NameIndices, settings: GatewaySettings, waiter: Waiter, received: float
+    ) -> None:
+        self.received = received
         self.message = message
         self.waiting = [waiter]  # all connections that wait: the client may have sent the request again
         self.call_outs: dict[int, CallOut] = {}  # by number; those that have not ended
--- a/oakfork/sockets/request_reader.py
+++ b/oakfork/sockets/request_reader.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from oakfork.sockets.arrival_times import ArrivalTimes, time_unread
 from oakfork.sockets.http_connection import LARGEST_BODY, RECEIVE_SIZE, HttpConnection
 
 DISCARD_READS = 16  # reads of discarded bytes between two pauses
@@ -19,8 +20,23 @@
 
     def __init__(self, sock: socket.socket) -> None:
         super().__init__(sock, h11.SERVER)
+        self.arrivals = ArrivalTimes()  # on trio's clock
         self.flooded = False  # so much was sent behind an RPC that the rest is discarded
 
+    def received(self, data: bytes) -> None:
+        """Adds bytes to what is parsed next, with the time at which the system received them."""
+        if data:
+            self.arrivals.add(len(data), trio.current_time() - time_unread(self.sock))
+        super().received(data)
+
+    def completed_at(self) -> float:
+        """When the last byte came of the request that was parsed last, on trio's clock."""
+        return self.arrivals.time_of(self.arrivals.received - self.buffered)
+
+    def begun_at(self) -> float:
+        """When the first byte came of what is received and not parsed, on trio's clock; there has to be some."""
+        return self.arrivals.time_of(self.arrivals.received - self.buffered + 1)
+
     def client_has_left(self) -> bool:
         """Whether the client has ended its sending, which is its leaving by the protocol, or has reset the connection.
 
--- a/tests/call_out_network.py
+++ b/tests/call_out_network.py
@@ -53,8 +53,8 @@
             return HttpConnection(ours, h11.CLIENT, max_body)
         raise ConnectionFailedError(Outcome.NEVER_UP)
 
-    def ask(self, number, lane="read", **changes):
-        """Queues an RPC for the decision loop."""
+    def ask(self, number, lane="read", waited=0.0, **changes):
+        """Queues an RPC for the decision loop, which has waited for some seconds to be read."""
         fields = {"X-Txn": str(number), "X-Lane": lane, "X-Tier": "free", "X-Remaining-Ms": "2000", "Host": "a"}
         fields |= changes
         head = h11.Request(
@@ -67,6 +67,7 @@
             self.configuration.names,
             self.configuration.settings,
             Waiter(lambda answer: self.answers.setdefault(number, answer), lambda: number in self.left),
+            trio.current_time() - waited,
         )
         self.asked_until = exchange.until
         enqueue(self.queue, RpcReceived(exchange))
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -241,6 +241,7 @@
             self.configuration.names,
             self.configuration.settings,
             Waiter(lambda answer: asked.answers.append((trio.current_time(), answer.status)), lambda: False),
+            trio.current_time(),
         )
         enqueue(self.queue, RpcReceived(exchange))
         return asked
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -171,7 +171,8 @@
 
     async def main():
         names = gateway_configuration.names
-        return Exchange(HttpMessage(head, b""), names, gateway_configuration.settings, Waiter(print, bool))
+        waiter = Waiter(print, bool)
+        return Exchange(HttpMessage(head, b""), names, gateway_configuration.settings, waiter, trio.current_time())
 
     chance = random.Random(5)
     gateway_configuration = read_test_configuration(tmp_path)
--- a/tests/test_decision_loop.py
+++ b/tests/test_decision_loop.py
@@ -115,6 +115,7 @@
                 loop.configuration.names,
                 loop.configuration.settings,
                 Waiter(lambda answer: statuses.append(answer.status), lambda: False),
+                trio.current_time(),
             )
             await queue.send(RpcReceived(exchange))
             await trio.sleep(0.1)
