--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -103,7 +103,7 @@
 
     async def main():
         theirs, call = large_call(monkeypatch)
-        outcome, _ = await call(CallOut(0, 0, math.inf, trio.current_time() + 0.1))
+        outcome, _ = await call(CallOut(0, 0, math.inf, trio.current_time() + 0.1, lambda: True))
         received, closed = written(theirs)
         theirs.close()
         return outcome, closed and len(received) < 60_000
