--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,7 +11,7 @@
 from fleet import METHODS, fleet_file, publisher_text, relay_text, server_item  # noqa: E402
 from rig import (  # noqa: E402
     TROUBLE,
-    CannotRun,
+    CannotRunError,
     Client,
     Rig,
     TrackServer,
@@ -69,7 +69,7 @@
 
     begin = {"id": "begin", "put": {"services": [{"name": "track", "methods": METHODS}], "servers": items("a")}}
     if publish(rig, publisher, begin)[0]:
-        raise CannotRun("the first change set was not accepted")
+        raise CannotRunError("the first change set was not accepted")
     listen = free_addresses(1)[0]
     seal = method("seal", "idempotency_key", group="zone")
     known = [row(name, server.address, zone=zones[name]) for name, server in servers.items() if name[0] == "a"]
@@ -81,7 +81,7 @@
     )
     start_gateway(rig, document, LB_FLEET=fleet_file(rig, relay))
     if publish(rig, publisher, {"id": "hall-b", "put": {"servers": items("b")}})[0]:
-        raise CannotRun("the change set of the new zone was not accepted")
+        raise CannotRunError("the change set of the new zone was not accepted")
     time.sleep(3)
     answers = []
 
@@ -100,7 +100,7 @@
     twice = {key: tries for key, tries in attempts.items() if len({zones[name] for name in tries}) > 1}
     rig.note("end", served=served, ran_in_two_zones=twice)
     if not served or not {zones[name] for tries in attempts.values() for name in tries} >= {"hall-a", "hall-b"}:
-        raise CannotRun("nothing was served, or one zone was not used")
+        raise CannotRunError("nothing was served, or one zone was not used")
     return bool(twice), f"{len(twice)} of {len(attempts)} marks ran in both zones"
 
 
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -25,7 +25,7 @@
 COMMAND = RUN.removeprefix("exec ")  # the gateway without arguments, the command line with some
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not be brought about."""
 
 
@@ -136,7 +136,7 @@
     """Runs a scenario that returns (broken, why)."""
     try:
         broken, why = scenario(rig)
-    except CannotRun as error:
+    except CannotRunError as error:
         broken, why = None, str(error)
     except Exception as error:  # a fault of the case itself is no verdict
         broken, why = None, f"{type(error).__name__}: {error}"
@@ -144,13 +144,13 @@
 
 
 def wait_for(condition, seconds, what):
-    """Waits for a condition; CannotRun if it does not come true in time."""
+    """Waits for a condition; CannotRunError if it does not come true in time."""
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         if condition():
             return
         time.sleep(0.02)
-    raise CannotRun(f"not in {seconds} s: {what}")
+    raise CannotRunError(f"not in {seconds} s: {what}")
 
 
 # HTTP
@@ -490,7 +490,7 @@
     if wait:
         wait_for(lambda: process.poll() is not None or is_ready(document["listen"]), 20, f"{document['name']} ready")
         if process.poll() is not None:
-            raise CannotRun(f"{document['name']} ended: {rig.log(document['name'])[-300:]}")
+            raise CannotRunError(f"{document['name']} ended: {rig.log(document['name'])[-300:]}")
     return process
 
 
@@ -517,7 +517,7 @@
 
     wait_for(lambda: process.poll() is not None or address(), 20, f"{name} serves")
     if process.poll() is not None:
-        raise CannotRun(f"{name} ended: {rig.log(name)[-400:]}")
+        raise CannotRunError(f"{name} ended: {rig.log(name)[-400:]}")
     return address()
 
 
