--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -95,6 +95,11 @@
         self.note("started", name=name, command=command, pid=process.pid)
         return process
 
+    def adopt(self, name, process):
+        """Takes over a process that the case itself has started, which ends with the others."""
+        (self.folder / f"{name}.log").touch()
+        self.processes[name] = process
+
     def kill(self, name, number=signal.SIGKILL):
         """Sends a signal to a process that this rig started; waits for the end of one that is killed."""
         process = self.processes[name]
@@ -336,8 +341,9 @@
         txn=None,
         path="/api",
         note=True,
+        patience=0.55,
     ):
-        """Sends an RPC; (status, body) of its answer, or (None, why) if there is none in its time and half a second."""
+        """Sends an RPC; (status, body), or (None, why) if there is no answer `patience` seconds after its time."""
         txn = txn or new_txn()
         head = [
             f"{method} {path}?client={customer} HTTP/1.1",
@@ -359,7 +365,7 @@
         try:
             if self.sock is None:
                 self._connect()
-            self.sock.settimeout(remaining / 1000 + 0.55)
+            self.sock.settimeout(remaining / 1000 + patience)
             self.sock.sendall(data)
             message = self.reader.message()
         except OSError as error:
