Answer 408 for a first request that is incomplete though more of it came

Cause: _expect_rest sets the deadline of the scope that _receive_at_timeout has just made; for the first request of a connection it has passed, and a scope whose deadline has passed counts as cancelled, so no 408 was written. Change: that deadline is taken back before the scope is asked. Evidence: the new test fails on (nothing is written: TimeoutError at the client) and passes now; so do the tests of closes, clients, request times and random bytes.

--- a/oakfork/sockets/client_connection.py
+++ b/oakfork/sockets/client_connection.py
@@ -1,6 +1,7 @@
 """One connection of a client: reads its RPCs, writes the answers and closes in order."""
 
 import contextlib
+import math
 import socket
 from typing import Any, Awaitable, Callable, Protocol
 
@@ -122,6 +123,7 @@
         self.scope = trio.CancelScope()
         if self.link.receive_available():
             self._process_received()
+            self.scope.deadline = math.inf  # a request that is still not complete has had its time
         if self.scope.cancel_called:
             return False
         if self.link.buffered and not self._busy():
@@ -161,8 +163,8 @@
             while not self._busy() and (message := self.link.parse()):
                 self.connections.idle.pop(self, None)
                 self.is_new = False
-                if self.scope.deadline != float("inf"):
-                    self.scope.deadline = float("inf")
+                if self.scope.deadline != math.inf:
+                    self.scope.deadline = math.inf
                 self._take(message)
         except ConnectionFailedError as error:
             if error.outcome in STATUS_OF_FAULT:
@@ -174,7 +176,7 @@
 
     def _expect_rest(self) -> None:
         """Starts the timeout of a request that has begun, and asks for its body if the client waits for that."""
-        if self.scope.deadline == float("inf"):
+        if self.scope.deadline == math.inf:
             self.connections.idle.pop(self, None)
             # What waited to be accepted has had its time from the first byte on.
             begun_at = min(self.active_at, self.link.begun_at()) if self.is_new else trio.current_time()
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -12,7 +12,7 @@
 from client_sockets import client_listener, open_socket, read_to_end
 from fake_services import echo, request_bytes, rpc, settings, until
 
-from oakfork.sockets.client_connection import LINGER_TIMEOUT, ClientConnection
+from oakfork.sockets.client_connection import LINGER_TIMEOUT, REQUEST_TIMEOUT, ClientConnection
 from oakfork.sockets.client_connections import IDLE_TIMEOUT
 from oakfork.sockets.exchange import Answer
 from oakfork.sockets.messages import ClientLeft, RpcReceived
@@ -165,6 +165,29 @@
     trio.run(main)
 
 
+def test_first_request_that_is_incomplete_at_its_timeout_gets_408_though_more_of_it_came(tmp_path):
+    """Guards against a close without an answer, for bytes that come with the timeout and don't complete the request."""
+
+    async def main():
+        with client_listener(tmp_path) as (make_clients, _, _):
+            async with trio.open_nursery() as nursery:
+                ours, theirs = socket.socketpair()
+                theirs.settimeout(2)
+                with closing(theirs):
+                    client = ClientConnection(make_clients(nursery), _like_tcp(ours))
+                    data = request_bytes()
+                    theirs.sendall(data[:-9])
+                    await client.link.fill()
+                    client._process_received()
+                    client.active_at -= REQUEST_TIMEOUT  # the time of the first request counts from here
+                    theirs.sendall(data[-9:-2])
+                    assert not client._receive_at_timeout()
+                    assert theirs.recv(100).startswith(b"HTTP/1.1 408")
+                    ours.close()
+
+    trio.run(main)
+
+
 def test_nothing_is_written_into_an_answer_that_the_client_reads_slowly(tmp_path):
     """Guards against a 408 inside an answer that is still being written, for half a request behind it.
 
