Bound what is handled of the clients' requests in one pass of the event loop

Cause: an RPC needs several passes of the event loop, and one pass handled all that clients had sent: ClientConnection._process_received took all requests of a read, and the decision loop went on with the next requests of a connection when it had answered one. Evidence: a trial with a trio instrument beside the unchanged program saw passes of 862 to 871 ms, each made of twelve steps of ClientConnection.serve of 72 ms, and no other step over 5 ms; 0.3 ms a pass without the bad clients. Change: one request a turn; ReadScheduler gives 16 turns a pass to small requests that come by themselves and 2 to all else. Why it works: the length of a pass no longer depends on what clients send, and a usual request goes ahead of pipelined ones.

--- a/oakfork/sockets/client_connection.py
+++ b/oakfork/sockets/client_connection.py
@@ -14,10 +14,12 @@
 from oakfork.sockets.http_connection import LARGEST_BODY, HttpMessage
 from oakfork.sockets.messages import ClientLeft, LoopEvent, RpcReceived, enqueue
 from oakfork.sockets.outcomes import Outcome
+from oakfork.sockets.read_scheduler import ReadScheduler
 from oakfork.sockets.request_reader import RequestReader
 
 REQUEST_TIMEOUT = 2.0  # seconds for a whole request, from its first bytes, or from the start of the connection
 LINGER_TIMEOUT = 1.0  # seconds that a half-closed connection is read, so that no reset overtakes its last answer
+SMALL_REQUEST = 1024  # bytes of a request that comes by itself; usual ones are a third of that
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))  # the answers to these have plain bodies
 STATUS_OF_FAULT = {Outcome.MALFORMED: 400, Outcome.OVERSIZED: 413, Outcome.SILENT: 408}
 
@@ -27,6 +29,8 @@
 
     configuration: GatewayConfiguration
     queue: trio.MemorySendChannel[LoopEvent]
+    scheduler: ReadScheduler  # of small requests that come by themselves
+    bulk_scheduler: ReadScheduler  # of all else that clients send
     max_open: int
     open: "set[ClientConnection]"
     # Open connections on which nothing has begun, and since when; the longest idle one first.
@@ -50,19 +54,25 @@
 
 
 class ClientConnection:
-    """One connection of a client. Its task only receives; the task that has an answer writes it at once."""
+    """One connection of a client. Its task receives requests; the task that has an answer writes it at once.
+
+    One request is handled in each turn that a scheduler gives. Those that wait behind an answer are handled by a task
+    of their own, while the connection's task goes on receiving, so that it sees the end of the client.
+    """
 
     def __init__(self, connections: ConnectionRegistry, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connections = connections
-        self.link = RequestReader(sock)
+        self.link = RequestReader(sock, connections.bulk_scheduler)
         self.scope = trio.CancelScope()  # cancelled to close the connection, or to end its lingering
         self.is_new = True  # no complete request has come yet
         self.exchange: Exchange | None = None  # not answered yet
         self.active_at = trio.current_time()  # its start or its last answer
         self.writing = False  # the rest of an answer is still being written
-        self.written = trio.Event()  # set when that ends, or when the exchange is answered
+        self.processing = False  # a task handles the requests that were received, in turns
+        self.closing = False  # nothing that comes is handled any more
+        self.progress = trio.Event()  # set when the exchange is answered, and when writing or processing ends
 
     def _waiter(self) -> Waiter:
         """This connection as one that waits for an answer; equal each time. Kept here it would be a reference cycle."""
@@ -81,6 +91,7 @@
         except ConnectionFailedError:
             client_left = True
         finally:
+            self.closing = True
             self.connections.idle.pop(self, None)
             if self.exchange:  # the exchange must know of it before anything else is done
                 self._leave_exchange()
@@ -102,18 +113,21 @@
     async def _receive(self) -> None:
         """Reads requests until the client ends its sending: by the protocol it has left then, even in mid-request."""
         while True:
+            if self._has_unprocessed():
+                await self._process_all()
             if self.link.buffered > LARGEST_BODY and self.exchange:
                 # Guards against not seeing the end of a client that has sent much: its RPC would be sent on.
                 self.link.flooded = True
                 if not await self.link.discard():
                     return
                 continue
-            if self.link.buffered > LARGEST_BODY and self.writing:
-                self.written = trio.Event()  # the client sends and does not read: nothing more is received for now
-                await self.written.wait()
+            if self.link.buffered > LARGEST_BODY and (self.writing or self.processing):
+                # The client sends faster than it reads or than it is served: nothing more is received for now.
+                self.progress = trio.Event()
+                await self.progress.wait()
+                continue
             if not await self.link.fill():
                 return
-            self._process_received()
 
     def _receive_at_timeout(self) -> bool:
         """Ends a request that has begun and is not complete in time, with status 408.
@@ -121,9 +135,10 @@
         Bytes that came in the same instant still count. Returns whether to go on receiving.
         """
         self.scope = trio.CancelScope()
-        if self.link.receive_available():
-            self._process_received()
-            self.scope.deadline = math.inf  # a request that is still not complete has had its time
+        self.link.receive_available()
+        if self._process_received():
+            return True
+        self.scope.deadline = math.inf  # a request that is still not complete has had its time
         if self.scope.cancel_called:
             return False
         if self.link.buffered and not self._busy():
@@ -137,9 +152,9 @@
         Guards against the reset that a close over unread bytes sends, which can destroy the answer written just before.
         What is read here is never sent on: for the client the close crossed its request, which it sends again.
         """
-        if self.writing:  # that has a timeout of its own
-            self.written = trio.Event()
-            await self.written.wait()
+        while self.writing:  # that has a timeout of its own
+            self.progress = trio.Event()
+            await self.progress.wait()
         self.link.shut_down_sending()
         self.scope = trio.CancelScope(deadline=trio.current_time() + LINGER_TIMEOUT)
         self.connections.lingering[self] = None
@@ -157,22 +172,52 @@
             self.scope.cancel()
         return idle
 
-    def _process_received(self) -> None:
-        """Handles the complete requests that were received, one at a time."""
+    def _process_received(self) -> bool:
+        """Handles at most one request; returns whether the bytes that were received may hold another."""
+        if not self.link.buffered or self._busy() or self.closing or self.scope.cancel_called:
+            return False
         try:
-            while not self._busy() and (message := self.link.parse()):
+            if message := self.link.parse():
                 self.connections.idle.pop(self, None)
                 self.is_new = False
                 if self.scope.deadline != math.inf:
                     self.scope.deadline = math.inf
                 self._take(message)
+                return self.link.buffered > 0
+            self._expect_rest()
+            return False
         except ConnectionFailedError as error:
             if error.outcome in STATUS_OF_FAULT:
-                self._write(Answer(STATUS_OF_FAULT[error.outcome]))
+                with contextlib.suppress(ConnectionFailedError):
+                    self._write(Answer(STATUS_OF_FAULT[error.outcome]))
             self.scope.cancel()
-            return
-        if self.link.buffered and not self._busy():
-            self._expect_rest()
+            return False
+
+    def _has_unprocessed(self) -> bool:
+        """Whether bytes were received that may hold a request, and no task handles them."""
+        return self.link.buffered > 0 and not self._busy() and not self.processing
+
+    async def _process_all(self) -> None:
+        """Handles the requests that were received, one in each turn."""
+        self.processing = True
+        is_small = self.link.buffered <= SMALL_REQUEST
+        scheduler = self.connections.scheduler if is_small else self.connections.bulk_scheduler
+        try:
+            await scheduler.wait_turn()
+            while self._process_received():
+                await self.connections.bulk_scheduler.wait_turn()
+        except Exception:
+            self.scope.cancel()
+            raise
+        finally:
+            self.processing = False
+            self.progress.set()
+
+    def _resume(self) -> None:
+        """Has the requests handled that came before the answer to the one before them."""
+        if self._has_unprocessed():
+            self.processing = True
+            self.connections.start(self._process_all)
 
     def _expect_rest(self) -> None:
         """Starts the timeout of a request that has begun, and asks for its body if the client waits for that."""
@@ -222,13 +267,12 @@
     def _answer(self, answer: Answer) -> None:
         self.connections.unanswered.pop(self.exchange.id, None)
         self.exchange = None
-        self.written.set()
+        self.progress.set()
         try:
             self._write(answer)
-            if self.link.buffered and not self.writing:  # the next request came before this answer
-                self._process_received()
         except ConnectionFailedError:
             self.scope.cancel()
+        self._resume()
 
     def _write(self, answer: Answer) -> None:
         """Writes an answer; what the socket has no room for is written by another task."""
@@ -259,11 +303,10 @@
             except (ConnectionFailedError, OSError, trio.ClosedResourceError):
                 last = True
         self.writing = False
-        self.written.set()
+        self.progress.set()
         if last or scope.cancelled_caught or self.connections.leaving:
             self.scope.cancel()
         elif self.link.buffered:
-            with contextlib.suppress(ConnectionFailedError):
-                self._process_received()
+            self._resume()
         else:
             self.connections.idle[self] = trio.current_time()
--- a/oakfork/sockets/client_connections.py
+++ b/oakfork/sockets/client_connections.py
@@ -13,6 +13,7 @@
 from oakfork.sockets.configuration import GatewayConfiguration
 from oakfork.sockets.exchange import Answer, Exchange
 from oakfork.sockets.messages import ClientLeft, LoopEvent, enqueue
+from oakfork.sockets.read_scheduler import ReadScheduler
 from oakfork.sockets.shutdown import Shutdown
 
 BACKLOG = 512  # connections that the system accepts before the gateway does
@@ -20,6 +21,10 @@
 # Seconds that a connection stays open after its start or its last answer, even if others need the room.
 KEEP_ALIVE_GRACE = 0.25
 IDLE_TIMEOUT = 2.0  # seconds after the last answer; some clients never close their connections
+# How much of what clients have sent is handled in one pass of the event loop: requests that come by themselves, and
+# steps of the rest (ClientConnection has the sizes). A step may take some milliseconds.
+SMALL_REQUESTS_PER_PASS = 16
+BULK_STEPS_PER_PASS = 2
 
 
 class ClientConnections:
@@ -44,6 +49,8 @@
         self.queue = queue
         self.nursery = nursery
         self.log = log
+        self.scheduler = ReadScheduler(nursery, SMALL_REQUESTS_PER_PASS)
+        self.bulk_scheduler = ReadScheduler(nursery, BULK_STEPS_PER_PASS)
         self.shutdown: Shutdown | None = None
         self.limit_reached = False  # and logged
         self.listener_closed = False
--- a/oakfork/sockets/request_reader.py
+++ b/oakfork/sockets/request_reader.py
@@ -7,6 +7,7 @@
 
 from oakfork.sockets.arrival_times import ArrivalTimes, time_unread
 from oakfork.sockets.http_connection import LARGEST_BODY, RECEIVE_SIZE, HttpConnection
+from oakfork.sockets.read_scheduler import ReadScheduler
 
 DISCARD_READS = 16  # reads of discarded bytes between two pauses
 # Seconds of each pause. A client is bounded to 100 MB/s of discarded bytes, so that the megabytes that the system holds
@@ -18,8 +19,9 @@
 class RequestReader(HttpConnection):
     """The connection of a client, as the side that answers."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, scheduler: ReadScheduler) -> None:
         super().__init__(sock, h11.SERVER)
+        self.scheduler = scheduler  # of the bytes that are discarded
         self.arrivals = ArrivalTimes()  # on trio's clock
         self.flooded = False  # so much was sent behind an RPC that the rest is discarded
 
@@ -59,14 +61,17 @@
     async def discard(self) -> bool:
         """Waits for bytes and discards them; False if the client has ended its sending.
 
-        Pauses after some reads, so that a client that sends without end costs little. Raises ConnectionFailedError.
+        Takes a turn for what is more than one read, and pauses after some reads, so that clients that send without end
+        cost little. Raises ConnectionFailedError.
         """
         await trio.lowlevel.wait_readable(self.sock)
-        for _ in range(DISCARD_READS):
+        for reads in range(DISCARD_READS):
             data = self.receive()
             if data is None:
                 break
             if not data:
                 return False
+            if not reads:
+                await self.scheduler.wait_turn()
         await trio.sleep(DISCARD_PAUSE)
         return True
--- /dev/null
+++ b/tests/test_client_fairness.py
@@ -0,0 +1,184 @@
+"""Clients that send more than the gateway has time for: they don't hold up the RPCs of others.
+
+A pass of the event loop runs each task that can run, once. An RPC needs several passes, so what the gateway handles in
+one pass is bounded, whatever clients send.
+"""
+
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import pytest
+import trio
+from client_sockets import client_listener
+from fake_services import echo, request_bytes, rpc
+from flooding_clients import LOADS, READY_REQUEST, received_answers
+
+from oakfork.sockets.client_connection import ClientConnection
+from oakfork.sockets.client_connections import BULK_STEPS_PER_PASS, SMALL_REQUESTS_PER_PASS
+from oakfork.sockets.exchange import Answer
+
+DEADLINE = 1.0  # seconds that the usual clients wait
+LATE = 0.5  # seconds after its deadline from which on an answer counts as lost
+# Steps of a pass, twice: the tasks of a pass run in any order, so that one may do a step of the next pass in this one.
+MAX_STEPS = 2 * (SMALL_REQUESTS_PER_PASS + BULK_STEPS_PER_PASS)
+
+
+class PassCounter:
+    """Counts how often something is called in each pass of the event loop."""
+
+    def __init__(self):
+        self.passes = 0
+        self.calls = Counter()  # by the number of the pass
+
+    def count_calls(self, monkeypatch, owner, name):
+        """Has the calls of a method counted."""
+        method = getattr(owner, name)
+
+        def counted(*args):
+            self.calls[self.passes] += 1
+            return method(*args)
+
+        monkeypatch.setattr(owner, name, counted)
+
+    async def run(self):
+        """Counts passes until it is cancelled."""
+        while True:
+            await trio.lowlevel.checkpoint()
+            self.passes += 1
+
+    def most_calls(self):
+        """The most calls in one pass."""
+        return max(self.calls.values())
+
+
+@contextmanager
+def connected_sockets(address, loads):
+    """A connected socket for each load, which has sent it."""
+    with ExitStack() as stack:
+        socks = []
+        for load in loads:
+            sock = stack.enter_context(socket.create_connection(address))
+            sock.settimeout(5)
+            sock.sendall(load)
+            socks.append(sock)
+        yield socks
+
+
+def pipelined_rpcs(client, count):
+    """RPCs of a client, one behind another, each with an id of its own."""
+    return b"".join(request_bytes(**{"X-Txn": f"{client}-{number}"}) for number in range(count))
+
+
+async def push_back(inbox):
+    """Answers each RPC at once, all that are queued in one turn, as the decision loop does."""
+    async for message in inbox:
+        while message:
+            message.exchange.answer(Answer(503))
+            try:
+                message = inbox.receive_nowait()
+            except trio.WouldBlock:
+                message = None
+
+
+@pytest.mark.parametrize("path", ["answered by the connection", "answered by the decision loop"])
+def test_pipelined_requests_of_all_clients_are_handled_a_few_in_a_pass(tmp_path, monkeypatch, path):
+    """Guards against clients that write hundreds of requests at once and hold up the RPCs of all others."""
+    loads = [READY_REQUEST * 500] * 12
+    if path == "answered by the decision loop":
+        loads = [pipelined_rpcs(client, 250) for client in range(12)]
+    expected = sum(load.count(b" HTTP/1.1\r\n") for load in loads)
+
+    async def main():
+        with client_listener(tmp_path) as (make_clients, address, inbox), connected_sockets(address, loads):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(counter.run)
+                nursery.start_soon(push_back, inbox)
+                nursery.start_soon(make_clients(nursery).run)
+                with trio.fail_after(30):
+                    while counter.calls.total() < expected:
+                        await trio.lowlevel.checkpoint()
+                nursery.cancel_scope.cancel()
+
+    counter = PassCounter()
+    counter.count_calls(monkeypatch, ClientConnection, "_take")
+    trio.run(main)
+    assert counter.calls.total() == expected and counter.most_calls() <= MAX_STEPS
+
+
+def test_request_is_handled_ahead_of_what_others_have_pipelined(tmp_path):
+    """Guards against requests that wait behind all that other clients have sent before them."""
+
+    async def main():
+        loads = [READY_REQUEST * 500] * 12
+        with client_listener(tmp_path) as (make_clients, address, _), connected_sockets(address, loads) as flooding:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(make_clients(nursery).run)
+                for _ in range(10):  # the gateway is in the middle of it
+                    await trio.lowlevel.checkpoint()
+                with connected_sockets(address, [READY_REQUEST]) as (usual,):
+                    answer = await trio.to_thread.run_sync(usual.recv, 1000)
+                    received = [len(sock.recv(1 << 20, socket.MSG_PEEK)) // len(answer) for sock in flooding]
+                nursery.cancel_scope.cancel()
+        assert answer.startswith(b"HTTP/1.1 200") and max(received) < 500
+
+    trio.run(main)
+
+
+def test_requests_behind_one_another_are_answered_though_more_comes_than_is_held(tmp_path):
+    """Guards against requests that are not answered once the gateway has stopped to receive for a while."""
+    count = 10_000  # 350 KB
+
+    def ask(sock):
+        sender = threading.Thread(target=sock.sendall, args=(READY_REQUEST * count,))
+        sender.start()
+        answers = 0
+        for received in received_answers(sock):
+            answers += received
+            if answers == count:
+                break
+        sender.join()
+        return answers
+
+    async def main():
+        with client_listener(tmp_path) as (make_clients, address, _), connected_sockets(address, [b""]) as (sock,):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(make_clients(nursery).run)
+                assert await trio.to_thread.run_sync(ask, sock) == count
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("load, count", [("ready_requests", 12), ("rpcs", 24)])
+def test_rpcs_are_answered_in_time_beside_clients_that_send_all_they_can(start_gateway, load, count):
+    """Guards against RPCs that get no answer in their time while a few clients send at full speed."""
+    assert load in LOADS
+    answers = []
+
+    def ask(number):
+        time.sleep(number * 0.025)
+        while time.monotonic() < end:
+            begun = time.monotonic()
+            status, _, _ = rpc(gateway.address, X_Txn=f"{number}-{begun}", X_Remaining_Ms=f"{DEADLINE * 1000:.0f}")
+            answers.append((time.monotonic() - begun, status))
+            time.sleep(0.25)
+
+    with start_gateway(echo, echo) as gateway:
+        script = Path(__file__).with_name("flooding_clients.py")
+        arguments = [sys.executable, str(script), gateway.address, load, str(count), "3"]
+        flood = subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True)
+        end = time.monotonic() + 3
+        threads = [threading.Thread(target=ask, args=(number,)) for number in range(10)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        sent = int(flood.communicate(timeout=30)[0])
+    assert sent > 0, "the clients that send all they can have got an answer"
+    assert len(answers) >= 10 and max(took for took, _ in answers) <= DEADLINE + LATE
