Parse 64 chunks of a message at a time, so that small chunks hold up nobody

Cause: HttpConnection.parse went on to the end of what was received, and 64 KiB hold 10,000 chunks. Change: a call handles 64 events of h11 at most; a client's connection goes on in its next turn, and read() lets other tasks run before it goes on.

--- a/oakfork/sockets/client_connection.py
+++ b/oakfork/sockets/client_connection.py
@@ -56,8 +56,9 @@
 class ClientConnection:
     """One connection of a client. Its task receives requests; the task that has an answer writes it at once.
 
-    One request is handled in each turn that a scheduler gives. Those that wait behind an answer are handled by a task
-    of their own, while the connection's task goes on receiving, so that it sees the end of the client.
+    One request, or a part of one in many chunks, is handled in each turn that a scheduler gives. Those that wait behind
+    an answer are handled by a task of their own, while the connection's task goes on receiving, so that it sees the end
+    of the client.
     """
 
     def __init__(self, connections: ConnectionRegistry, sock: socket.socket) -> None:
@@ -136,7 +137,7 @@
         """
         self.scope = trio.CancelScope()
         self.link.receive_available()
-        if self._process_received():
+        if self._process_received() and not self.link.interrupted:
             return True
         self.scope.deadline = math.inf  # a request that is still not complete has had its time
         if self.scope.cancel_called:
@@ -185,7 +186,7 @@
                 self._take(message)
                 return self.link.buffered > 0
             self._expect_rest()
-            return False
+            return self.link.interrupted
         except ConnectionFailedError as error:
             if error.outcome in STATUS_OF_FAULT:
                 with contextlib.suppress(ConnectionFailedError):
--- a/oakfork/sockets/http_connection.py
+++ b/oakfork/sockets/http_connection.py
@@ -15,6 +15,7 @@
 LARGEST_HEAD = 16 * 1024  # bytes
 RECEIVE_SIZE = 64 * 1024  # bytes
 MAX_WRITE_BUFFERS = 512  # buffers of one gathered write; Linux takes 1,024
+MAX_PARSE_EVENTS = 64  # heads, chunks and ends of messages that one call of `parse` handles
 
 Header = tuple[bytes, bytes]
 
@@ -81,6 +82,7 @@
         self.head: h11.Request | h11.Response | None = None  # of the message that is being read
         self.body: list[bytes] = []
         self.size = 0  # bytes of the body received so far
+        self.interrupted = False  # the last call of `parse` ended before all bytes that were received
 
     async def fill(self) -> bool:
         """Receives some bytes; False if the other side has ended its sending."""
@@ -120,8 +122,13 @@
             self.sock.shutdown(socket.SHUT_WR)
 
     def parse(self) -> HttpMessage | None:
-        """The next complete message; None if more bytes must be received first."""
-        while True:
+        """The next complete message; None if more bytes must be received first, or if the call was `interrupted`.
+
+        Guards against messages of many small chunks, which would hold up all other tasks: a call that has handled
+        MAX_PARSE_EVENTS events ends, and the next one continues.
+        """
+        self.interrupted = False
+        for _ in range(MAX_PARSE_EVENTS):
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError:
@@ -143,6 +150,8 @@
                 raise ConnectionFailedError(Outcome.ENDED)
             elif event is h11.PAUSED:
                 raise ConnectionFailedError(Outcome.MALFORMED)
+        self.interrupted = True
+        return None
 
     def _complete_message(self) -> HttpMessage:
         message = HttpMessage(self.head, b"".join(self.body))
@@ -159,6 +168,9 @@
         most, after which ConnectionFailedError is raised.
         """
         while (message := self.parse()) is None:
+            if self.interrupted:
+                await trio.lowlevel.checkpoint()
+                continue
             if self.head is None and not self.http.trailing_data[0]:
                 await self.fill()
                 continue
--- a/tests/flooding_clients.py
+++ b/tests/flooding_clients.py
@@ -17,6 +17,7 @@
 
 TIMEOUT = 5.0  # seconds for which an answer is waited for
 READY_REQUEST = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+CHUNKED_HEAD = b"POST /-/nothing HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 STATUS_LINE = b"HTTP/1.1 "  # begins each answer
 serial_numbers = itertools.count(1)
 
@@ -33,7 +34,12 @@
     return b"".join(request_bytes(**{"X-Txn": f"f{number:x}", "X-Tier": "basic"}) for number in numbers), count
 
 
-LOADS = {load.__name__: load for load in (ready_requests, rpcs)}
+def small_chunks():
+    """A request whose body comes in chunks of one byte."""
+    return CHUNKED_HEAD + b"1\r\na\r\n" * 60_000 + b"0\r\n\r\n", 1
+
+
+LOADS = {load.__name__: load for load in (ready_requests, rpcs, small_chunks)}
 
 
 def received_answers(sock):
--- a/tests/test_client_fairness.py
+++ b/tests/test_client_fairness.py
@@ -1,7 +1,7 @@
 """Clients that send more than the gateway has time for: they don't hold up the RPCs of others.
 
 A pass of the event loop runs each task that can run, once. An RPC needs several passes, so what the gateway handles in
-one pass is bounded, whatever clients send.
+one pass is bounded, whatever clients and servers send.
 """
 
 import socket
@@ -10,18 +10,22 @@
 import threading
 import time
 from collections import Counter
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, closing, contextmanager
 from pathlib import Path
 
+import h11
 import pytest
 import trio
 from client_sockets import client_listener
 from fake_services import echo, request_bytes, rpc
-from flooding_clients import LOADS, READY_REQUEST, received_answers
+from flooding_clients import CHUNKED_HEAD, LOADS, READY_REQUEST, received_answers
 
+from oakfork.errors import ConnectionFailedError
 from oakfork.sockets.client_connection import ClientConnection
 from oakfork.sockets.client_connections import BULK_STEPS_PER_PASS, SMALL_REQUESTS_PER_PASS
 from oakfork.sockets.exchange import Answer
+from oakfork.sockets.http_connection import MAX_PARSE_EVENTS, HttpConnection
+from oakfork.sockets.outcomes import Outcome
 
 DEADLINE = 1.0  # seconds that the usual clients wait
 LATE = 0.5  # seconds after its deadline from which on an answer counts as lost
@@ -155,7 +159,57 @@
     trio.run(main)
 
 
-@pytest.mark.parametrize("load, count", [("ready_requests", 12), ("rpcs", 24)])
+def test_body_in_small_chunks_is_read_a_few_chunks_in_a_pass(tmp_path, monkeypatch):
+    """Guards against clients whose bodies come in chunks of one byte and hold up the RPCs of all others."""
+
+    async def main():
+        load = CHUNKED_HEAD + b"1\r\na\r\n" * 5_000 + b"0\r\n\r\n"
+        with client_listener(tmp_path) as (make_clients, address, _):
+            with connected_sockets(address, [load] * 4) as socks:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(counter.run)
+                    nursery.start_soon(make_clients(nursery).run)
+                    for sock in socks:
+                        answer = await trio.to_thread.run_sync(sock.recv, 1000)
+                        assert answer.startswith(b"HTTP/1.1 404")
+                    nursery.cancel_scope.cancel()
+
+    counter = PassCounter()
+    counter.count_calls(monkeypatch, h11.Connection, "next_event")
+    trio.run(main)
+    assert counter.calls.total() > 20_000 and counter.most_calls() <= MAX_STEPS * MAX_PARSE_EVENTS
+
+
+@pytest.mark.parametrize("largest", [100_000, 5_000])
+def test_answer_in_small_chunks_is_read_a_few_chunks_in_a_pass(monkeypatch, largest):
+    """Guards against servers whose answers come in chunks of two bytes and hold up the RPCs of other servers."""
+
+    async def main():
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        with closing(theirs):
+            connection = HttpConnection(ours, h11.CLIENT, largest)
+            await connection.write(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            theirs.sendall(head + b"2\r\nab\r\n" * 5_000 + b"0\r\n\r\n")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(counter.run)
+                try:
+                    return (await connection.read(1.0)).body
+                except ConnectionFailedError as error:
+                    return error.outcome
+                finally:
+                    connection.close()
+                    nursery.cancel_scope.cancel()
+
+    counter = PassCounter()
+    counter.count_calls(monkeypatch, h11.Connection, "next_event")
+    assert trio.run(main) == (b"ab" * 5_000 if largest > 10_000 else Outcome.OVERSIZED)
+    # One step a pass, twice as for MAX_STEPS, and the one before anything was received.
+    assert counter.calls.total() > 2_000 and counter.most_calls() <= 2 * MAX_PARSE_EVENTS + 1
+
+
+@pytest.mark.parametrize("load, count", [("ready_requests", 12), ("rpcs", 24), ("small_chunks", 4)])
 def test_rpcs_are_answered_in_time_beside_clients_that_send_all_they_can(start_gateway, load, count):
     """Guards against RPCs that get no answer in their time while a few clients send at full speed."""
     assert load in LOADS
