--- a/tests/test_client_fairness.py
+++ b/tests/test_client_fairness.py
@@ -4,6 +4,7 @@
 one pass is bounded, whatever clients and servers send.
 """
 
+import os
 import socket
 import subprocess
 import sys
@@ -226,7 +227,8 @@
     with start_gateway(echo, echo) as gateway:
         script = Path(__file__).with_name("flooding_clients.py")
         arguments = [sys.executable, str(script), gateway.address, load, str(count), "3"]
-        flood = subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True)
+        environment = os.environ | {"PYTHONPATH": str(script.parents[1])}  # the package need not be installed
+        flood = subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True, env=environment)
         end = time.monotonic() + 3
         threads = [threading.Thread(target=ask, args=(number,)) for number in range(10)]
         for thread in threads:
