Hand a lease over at once though the voters' hints come while the next round is open

The task stood still for up to a lease; no two gateways acted at once.

Cause: the votes of a holder that leaves are freed at each voter at another moment. The first voter's hint starts a round while others still have the old vote and refuse it. Their hints come while that round is open: `on_free` ignored them if the round had a vote, and otherwise made the timer due, which took the open round for one without a majority and gave its votes back. The next round waited for a pause of up to a lease.

A hint in another voter's name is refused.

--- a/oakfork/lab/lease_model.py
+++ b/oakfork/lab/lease_model.py
@@ -141,7 +141,7 @@
                         contender, now, message, LENGTHS, 0, random_value
                     )
                 case VoteFreed():
-                    self.contenders[receiver] = holder.on_free(contender, now)
+                    self.contenders[receiver] = holder.on_free(contender, now, message)
         for target, reply in replies:
             self.send(receiver, target, reply)
         self.broadcast(receiver, broadcast)
--- a/oakfork/leases/holder.py
+++ b/oakfork/leases/holder.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from oakfork.leases.durations import LeaseDurations
-from oakfork.leases.messages import Ask, Grant, Refusal, Release
+from oakfork.leases.messages import Ask, Grant, Refusal, Release, VoteFreed
 
 NEVER = 1 << 62  # a time that does not come, in tenths of a millisecond
 MAX_BACKOFF_DOUBLINGS = 8
@@ -120,11 +120,15 @@
     return _give_up(contender, now, durations, task, jitter, contender.shortest_wait)
 
 
-def on_free(contender: Contender, now: int) -> Contender:
-    """Takes a hint that a vote is free: the next round starts at once."""
-    if contender.lease_end or contender.leaving or contender.grants:
+def on_free(contender: Contender, now: int, hint: VoteFreed) -> Contender:
+    """Takes a hint that a vote is free: the next round starts at once, also in place of one that is open.
+
+    Guards against a hint that overtakes what frees the other votes: the round that it starts is refused there, and
+    their hints come while it is open. A voter that has granted the open round has nothing to add to it.
+    """
+    if contender.lease_end or contender.leaving or hint.voter in contender.grants:
         return contender
-    return contender._replace(wake=min(contender.wake, now))
+    return contender._replace(round_open=False, wake=min(contender.wake, now))
 
 
 def on_leave(contender: Contender, now: int, durations: LeaseDurations) -> Contender:
--- a/oakfork/leases/runner.py
+++ b/oakfork/leases/runner.py
@@ -177,8 +177,8 @@
             self._send_to_voters(messages)
 
     def _on_free(self, sender: int, hint: VoteFreed) -> None:
-        if hint.task in self.contenders:
-            self.contenders[hint.task] = holder.on_free(self.contenders[hint.task], steady_clock())
+        if hint.task in self.contenders and hint.voter == sender:
+            self.contenders[hint.task] = holder.on_free(self.contenders[hint.task], steady_clock(), hint)
             self.state_changed.set()
 
     def _on_clock_request(self, sender: int, request: ClockRequest) -> None:
--- a/tests/lease_search.py
+++ b/tests/lease_search.py
@@ -273,7 +273,7 @@
             case Refusal():
                 contender, outgoing = self.functions["on_refusal"](contender, clock, event, DURATIONS, TASK, JITTER)
             case VoteFreed():
-                contender = holder.on_free(contender, clock)
+                contender = holder.on_free(contender, clock, event)
         sent = [(index, message) for message in outgoing for index in range(self.voters)]
         return state._replace(contender=contender), sent
 
--- a/tests/test_lease_machines.py
+++ b/tests/test_lease_machines.py
@@ -107,7 +107,7 @@
                 )
                 self.send_to_voters(messages)
             case VoteFreed():
-                self.contenders[to] = holder.on_free(self.contenders[to], self.contender_clock(to))
+                self.contenders[to] = holder.on_free(self.contenders[to], self.contender_clock(to), message)
 
     @rule(index=VOTER)
     def voter_restarts(self, index):
