Have a publisher that starts find out whether another decides before it begins a term

Cause: a publisher began a term at its start without asking anybody, the number of its own database plus one. Two copies so got the same, and terms were compared with `>` alone.

Now a publisher claims first (control/claim.py): it asks the processes of `others`, publishers and relays, and accepts and serves nothing until their answers settle it. One that meets another which decides, a later term, or a later change set at a relay refuses for good and says why in status, log and answers; it begins no term, so starting it often doesn't help it. Of two that start at once one yields. Terms differ by a random number, so that those of two copies do. `above_term` is an operator's word, spent by one take-over.

Why it works: two claims are open at one moment or one is over before the other asks. In the latter case the later one sees a publisher that decides; in the former each sees the other, and only the one to which the other has yielded goes on. A grant by a majority, which would hold under cuts too, is not built.

--- /dev/null
+++ b/oakfork/control/claim.py
@@ -0,0 +1,183 @@
+"""How a publisher that starts finds out whether it is the one that decides. No I/O: events in, commands out.
+
+It asks the processes of `others`, publishers and relays, for their status, all at once and again until their answers
+settle it. It may decide only if nobody who answers decides already, is about to with a better right, or knows of a
+later state than its own database has. An operator's word (`above_term`) covers all terms up to the one it names, once:
+until the database has a later term. docs/control.md says what this shows, and what only a majority could show.
+"""
+
+from enum import Enum
+from typing import Sequence
+
+from oakfork.control.events import (
+    Close,
+    Command,
+    Connect,
+    Connected,
+    Disconnected,
+    Event,
+    FrameReceived,
+    SendFrame,
+    TimerFired,
+)
+from oakfork.control.messages import Position, Status, StatusRequest, pack
+from oakfork.control.status import ClaimStatus, ReportedStatus, reported_status
+
+# Durations in milliseconds
+ROUND_TIMEOUT = 2_000  # for the answers to one round of questions
+ROUND_INTERVAL = 500  # between the end of a round and the next
+MAX_ANSWER_AGE = 2_000  # of the answers that it decides by; a process may be stopped for any time
+# For a publisher that decides, and whose term the operator's word covers, to hear of it: it asks every ten seconds.
+TAKEOVER_TIME = 12_000
+
+
+class Finding(Enum):
+    """What the answers of one round say."""
+
+    FREE = "nobody else decides"
+    WAIT = "another publisher starts too, or decides with an older term"
+    SUPERSEDED = "a later publisher"
+    OLDER_COPY = "a later state"
+
+
+class Claim:
+    """The claim of one publisher that starts, whose database ends at `stored`.
+
+    `mark` is a random number of this start, above 0. Deliver a `TimerFired` when `timer` is due, at first at once.
+    """
+
+    def __init__(self, others: Sequence[str], stored: Position, above_term: int, mark: int) -> None:
+        self.others = others
+        self.stored = stored
+        self.word = above_term if above_term >= stored.term else 0  # the operator's; 0 if there is none or it is spent
+        self.mark = mark
+        self.yields_to = 0  # the mark of a publisher that starts too and goes first
+        self.finding = Finding.WAIT
+        self.latest = stored  # the latest position that an answer shows
+        self.answered_at = 0  # the end of the last round
+        self.first_asked_at: int | None = None
+        self.links: dict[int, str] = {}  # without an answer yet, of the round that is open; address by link
+        self.answers: list[ReportedStatus] = []  # of that round
+        self.last_link = 0
+        self.timer: int | None = 0  # None once nothing more is asked
+
+    @property
+    def known_term(self) -> int:
+        """The highest term that an answer shows, or that the operator's word names."""
+        return max(self.latest.term, self.word)
+
+    def is_settled(self, now: int) -> bool:
+        """Whether this publisher may decide at `now`."""
+        return self.finding is Finding.FREE and now - self.answered_at <= MAX_ANSWER_AGE
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether this publisher must not decide, now or later."""
+        return self.finding in (Finding.SUPERSEDED, Finding.OLDER_COPY)
+
+    def status(self) -> ClaimStatus:
+        """What others learn of this claim."""
+        return ClaimStatus(self.word, self.mark, self.yields_to)
+
+    def refuse(self, position: Position) -> list[Command]:
+        """A position was seen that is later than what this publisher may take over from: nothing more is asked."""
+        self.finding = Finding.SUPERSEDED
+        self.latest = max(self.latest, position)
+        self.timer = None
+        return self._close_links("not needed")
+
+    def ask_again(self, at: int) -> None:
+        """Has a new round begin at that time: the last answers are too old to decide by, or could not be used."""
+        self.finding = Finding.WAIT
+        self.timer = at
+
+    def handle(self, now: int, event: Event) -> list[Command]:
+        """Handles a timer event, or an event of one of its links; ignores all others."""
+        match event:
+            case TimerFired() if self.timer is not None and now >= self.timer:
+                return self._time_out(now) if self.links else self._begin_round(now)
+            case Connected(link) if link in self.links:
+                return [SendFrame(link, pack(StatusRequest()))]
+            case Disconnected(link) if link in self.links:
+                self._answered(now, link, None)
+            case FrameReceived(link, message) if link in self.links:
+                self._answered(now, link, reported_status(message.document) if isinstance(message, Status) else None)
+                return [Close(link, "answered")]
+        return []
+
+    # Rounds of questions
+
+    def _begin_round(self, now: int) -> list[Command]:
+        if self.first_asked_at is None:
+            self.first_asked_at = now
+        self.answers = []
+        self.yields_to = 0  # else the other might decide by that, and this one because the other does not answer
+        for address in self.others:
+            self.last_link -= 1
+            self.links[self.last_link] = address
+        self.timer = now + ROUND_TIMEOUT
+        if not self.links:
+            self.end_round(now)
+        return [Connect(address, link) for link, address in self.links.items()]
+
+    def _answered(self, now: int, link: int, status: ReportedStatus | None) -> None:
+        del self.links[link]
+        if status is not None:
+            self.answers.append(status)
+        if not self.links:
+            self.end_round(now)
+
+    def _time_out(self, now: int) -> list[Command]:
+        """Ends a round in which somebody has not answered; it counts as absent."""
+        commands = self._close_links("no answer")
+        self.end_round(now)
+        return commands
+
+    def _close_links(self, reason: str) -> list[Command]:
+        commands: list[Command] = [Close(link, reason) for link in self.links]
+        self.links.clear()
+        return commands
+
+    def end_round(self, now: int) -> None:
+        """All answers of a round are there: finds what they say."""
+        self.answered_at = now
+        self.yields_to = 0
+        self.latest = max((self.latest, *(status.position for status in self.answers)))
+        findings = {self.compare(now, status) for status in self.answers}
+        self.finding = next(
+            (one for one in (Finding.SUPERSEDED, Finding.OLDER_COPY, Finding.WAIT) if one in findings), Finding.FREE
+        )
+        self.timer = now + ROUND_INTERVAL if self.finding is Finding.WAIT else None
+
+    # What an answer means
+
+    def compare(self, now: int, status: ReportedStatus) -> Finding:
+        """What the answer of one process says."""
+        if status.claim is not None:
+            return self.compare_claim(status.position, status.claim)
+        if self._is_covered(status):
+            waits = status.is_deciding and now < self.first_asked_at + TAKEOVER_TIME
+            return Finding.WAIT if waits else Finding.FREE
+        if status.known_term > self.stored.term:
+            return Finding.SUPERSEDED
+        if status.is_deciding:
+            return Finding.SUPERSEDED if status.known_term == self.stored.term else Finding.WAIT
+        return Finding.OLDER_COPY if status.position > self.stored else Finding.FREE
+
+    def _is_covered(self, status: ReportedStatus) -> bool:
+        """Whether the operator's word lets this publisher take over from all that an answer shows.
+
+        A publisher that hears of the word takes it for a term just above it.
+        """
+        return 0 < self.word >= status.position.term and (status.higher_term or 0) <= self.word + 1
+
+    def compare_claim(self, position: Position, claim: ClaimStatus) -> Finding:
+        """Of publishers that start at the same time, the one with the better right goes first.
+
+        The other one says that it yields, and the first waits for that: it may have been taken for absent.
+        """
+        if claim.mark == self.mark or claim.yields_to == self.mark:
+            return Finding.FREE
+        if (claim.word, position, claim.mark) > (self.word, self.stored, self.mark):
+            self.yields_to = max(self.yields_to, claim.mark)
+        return Finding.WAIT
--- a/oakfork/control/database.py
+++ b/oakfork/control/database.py
@@ -167,10 +167,13 @@
                 "have the digest that was stored"
             )
 
-    def begin_term(self, above: int = 0) -> int:
-        """Begins a term above the last one and above `above`; durable when this returns."""
+    def begin_term(self, above: int = 0, beyond: int = 0) -> int:
+        """Begins a term above the last one and above `above`; durable when this returns.
+
+        It is the next one but `beyond`, a random number by which the terms of two copies of a database differ.
+        """
         with self._transaction():
-            term = max(self.term, above) + 1
+            term = max(self.term, above) + 1 + beyond
             self.connection.execute("UPDATE kept SET value = ? WHERE key = 'term'", (term,))
         return term
 
--- a/oakfork/control/engine.py
+++ b/oakfork/control/engine.py
@@ -165,6 +165,8 @@
                 self.nursery.start_soon(self._store, command)
             case events.RevertChangeSet(position):
                 self.nursery.start_soon(self._revert, position)
+            case events.BeginTerm():
+                self.nursery.start_soon(self._begin_term, command)
             case events.CountEvent(reason, about):
                 self.count_event(reason, about)
 
@@ -259,6 +261,16 @@
         else:
             await self.sender.send(events.Reverted(number))
 
+    async def _begin_term(self, command: events.BeginTerm) -> None:
+        try:
+            async with self.database_lock:
+                term = await trio.to_thread.run_sync(self.database.begin_term, *command)
+        except DatabaseError as error:
+            self.log.error("no term could be begun", **log_fields(error))
+            await self.sender.send(events.TermFailed(str(error)[:MAX_REASON_LENGTH]))
+        else:
+            await self.sender.send(events.TermBegun(term))
+
     async def _call_database(self, verb: str, call: Callable[..., None], *arguments: Any) -> str | None:
         """Calls the database in a thread, twice if necessary; returns why it failed, None if it succeeded."""
         for pause in (STORE_RETRY_PAUSE, 0.0):
--- a/oakfork/control/events.py
+++ b/oakfork/control/events.py
@@ -75,6 +75,18 @@
     reason: str
 
 
+class TermBegun(NamedTuple):
+    """The term that `BeginTerm` asked for is begun, and durable."""
+
+    term: int
+
+
+class TermFailed(NamedTuple):
+    """`BeginTerm` failed."""
+
+    reason: str
+
+
 class ShuttingDown(NamedTuple):
     """The process is about to end: the machine says goodbye and opens no more links."""
 
@@ -89,6 +101,8 @@
     | StoreFailed
     | Reverted
     | RevertFailed
+    | TermBegun
+    | TermFailed
     | ShuttingDown
 )
 
@@ -152,6 +166,14 @@
     position: Position
 
 
+class BeginTerm(NamedTuple):
+    """Durably begin a term: above `above` and all terms of the database, and `beyond` further. Answered by `TermBegun`
+    or `TermFailed`."""
+
+    above: int
+    beyond: int
+
+
 class CountEvent(NamedTuple):
     """Count an occurrence by its reason (one of a fixed set) and log it with what it concerns."""
 
@@ -160,5 +182,14 @@
 
 
 Command = (
-    Connect | Close | SendFrame | SetTimer | ScheduleStep | InForce | StoreChangeSet | RevertChangeSet | CountEvent
+    Connect
+    | Close
+    | SendFrame
+    | SetTimer
+    | ScheduleStep
+    | InForce
+    | StoreChangeSet
+    | RevertChangeSet
+    | BeginTerm
+    | CountEvent
 )
--- a/oakfork/control/follower_server.py
+++ b/oakfork/control/follower_server.py
@@ -85,7 +85,8 @@
         self.last_heartbeat_at = 0
         self.last_path: tuple[str, ...] = ()  # in the last heartbeat to all
         self.higher_term = 0  # the highest term above its own that is known
-        self.outdated = False  # a publisher of a higher term is known: serves no followers any more
+        self.outdated = False  # a publisher of a higher term is known, or may be: serves no followers
+        self.refusal = "older term"  # the reason that followers get then
         self.shutting_down = False  # accepts no more links
         self.step_scheduled = False
         self.timer: int | None = None
@@ -309,7 +310,7 @@
             return False
         if session.position.term > self.position.term:
             self.higher_term = max(self.higher_term, session.position.term)
-        self._end_link(link, "older term", "older term")
+        self._end_link(link, self.refusal, self.refusal)
         return True
 
     def _acked(self, link: int, session: FollowerSession, position: Position, digest: int) -> None:
--- a/oakfork/control/history.py
+++ b/oakfork/control/history.py
@@ -1,10 +1,11 @@
 """The changes between consecutive positions, for a bounded number of positions back. No I/O."""
 
 from collections import deque
-from typing import Callable, NamedTuple, Sequence
+from typing import Callable, Iterable, NamedTuple, Protocol, Sequence
 
 from oakfork.control.events import Changes, Key
-from oakfork.control.messages import EMPTY, HistoryStep, Position
+from oakfork.control.messages import EMPTY, HistoryStep, Position, Row
+from oakfork.control.state import as_changes
 
 # Rows in all change sets: room for a day's 2,000 changes and for a zone's 2,560 servers removed and restored twice.
 # Merging all of it is one step of the event loop of a relay or publisher, never of a gateway. Further back, sending
@@ -15,6 +16,14 @@
 MAX_REPLY_KEYS = 1_024  # in one reply; with keys of any length these are less than a frame holds
 
 
+class Entry(Protocol):
+    """A stored change set, which led from `before` to `position`."""
+
+    before: Position
+    position: Position
+    rows: Sequence[Row]
+
+
 class _ChangeSet(NamedTuple):
     position: Position
     changes: Changes
@@ -159,3 +168,16 @@
         for changes in reversed(later):
             merged |= changes
         return merged
+
+
+def stored_history(entries: Iterable[Entry], stored: Position, digest: int) -> History:
+    """The history of the stored change sets; only the digest at `stored` is known."""
+    history = None
+    for entry in entries:
+        if history is None:
+            history = History(entry.before, None)
+        entry_digest = digest if entry.position == stored else None
+        history.add(entry.before, entry.position, as_changes(entry.rows), entry_digest)
+    if history is None or history.newest != stored:
+        return History(stored, digest)
+    return history
--- a/oakfork/control/messages.py
+++ b/oakfork/control/messages.py
@@ -167,7 +167,8 @@
 
 
 class Goodbye(Message, tag=21):
-    """The sender ends the connection. Reasons: "older term", "version", "full", "leaving", "malformed"."""
+    """The sender ends the connection. Reasons: "older term", "claiming", "version", "full", "leaving",
+    "malformed"."""
 
     reason: Annotated[str, msgspec.Meta(max_length=MAX_REASON_LENGTH)]
     position: Position
--- a/oakfork/control/other_publishers.py
+++ b/oakfork/control/other_publishers.py
@@ -18,7 +18,7 @@
     TimerFired,
 )
 from oakfork.control.messages import Status, StatusRequest, pack
-from oakfork.control.status import term_of
+from oakfork.control.status import ReportedStatus, reported_status
 
 POLL_INTERVAL = 10_000  # milliseconds; a publisher that hasn't answered by the next poll is asked again
 
@@ -49,11 +49,17 @@
                 self.open_links.discard(link)
             case FrameReceived(link, message) if link in self.open_links:
                 if isinstance(message, Status):
-                    self.highest_term = max(self.highest_term, term_of(message.document))
+                    self._answered(reported_status(message.document))
                 self.open_links.discard(link)
                 return [Close(link, "answered")]
         return []
 
+    def _answered(self, status: ReportedStatus | None) -> None:
+        """Learns the term of a publisher, or the one up to which a publisher that starts is to take over."""
+        if status is not None:
+            taken_over = status.claim.word + 1 if status.claim and status.claim.word else 0
+            self.highest_term = max(self.highest_term, status.position.term, taken_over)
+
     def _poll(self, now: int) -> list[Command]:
         commands: list[Command] = [Close(link, "no answer") for link in sorted(self.open_links)]
         self.open_links.clear()
--- a/oakfork/control/processes.py
+++ b/oakfork/control/processes.py
@@ -1,13 +1,16 @@
 """Runs a publisher, a relay or a single follower as a process. Over trio."""
 
 import json
+import secrets
 import zlib
+from functools import partial
 from typing import Any, Callable, Sequence
 
 import trio
 from structlog.stdlib import BoundLogger
 
 from oakfork.control import change_schema
+from oakfork.control.claim import Claim
 from oakfork.control.config import PublisherConfig, RelayConfig
 from oakfork.control.connections import listen
 from oakfork.control.database import Database
@@ -21,6 +24,7 @@
 from oakfork.control.state_index import StateIndex
 
 MAX_NAMED_RELAYS = 64  # in a status
+MAX_MARK = 1 << 53  # of a publisher's start; JSON carries no larger integers safely
 
 
 def complete_status(document: bytes, follower_server: FollowerServer, engine: Engine) -> bytes:
@@ -56,17 +60,21 @@
         return complete_status(super().status(now), self.follower_server, self.engine)
 
 
-def publisher_engine(config: PublisherConfig, database: Database, log: BoundLogger) -> Engine:
-    """A publisher of a new term, starting from the database's content; the term is durable when this returns.
+def publisher_engine(
+    config: PublisherConfig, database: Database, log: BoundLogger, *, mark: int | None = None
+) -> Engine:
+    """A publisher that starts from the database's content, and settles its claim before it decides.
 
-    Waits for the disk; call it in a worker thread. Raises DatabaseError.
+    `mark` is a random number of this start, above 0. Without one it decides at once, in a new term, which is durable
+    when this returns. Waits for the disk; call it in a worker thread. Raises DatabaseError.
     """
     loaded = database.loaded
     database.loaded = None
     index = StateIndex(loaded.records)
+    claims = mark is not None
     machine = _Publisher(
         config.full_name,
-        database.begin_term(config.above_term),
+        None if claims else database.begin_term(config.above_term),
         loaded.position,
         loaded.records,
         change_schema.parse,
@@ -77,6 +85,7 @@
         egress=config.egress,
         max_links=config.connections,
         others=config.others,
+        claim=Claim(config.others, loaded.position, config.above_term, mark) if claims else None,
     )
     machine.engine = Engine(machine, log, config.connections, database=database)
     return machine.engine
@@ -101,7 +110,8 @@
     listener = listen(config.listen)
     database = await trio.to_thread.run_sync(Database, config.database, config.log_sets, config.ids)
     try:
-        engine = await trio.to_thread.run_sync(publisher_engine, config, database, log)
+        mark = 1 + secrets.randbelow(MAX_MARK)
+        engine = await trio.to_thread.run_sync(partial(publisher_engine, config, database, log, mark=mark))
         await serve(engine, listener, log)
     finally:
         database.close()
--- a/oakfork/control/publisher.py
+++ b/oakfork/control/publisher.py
@@ -2,16 +2,19 @@
 
 A change set is durable (`StoreChangeSet`, `Stored`) before it is in force, acknowledged or sent to followers. One is
 handled at a time, so each is checked against the state that includes all before it. A repeated id gets the same answer
-and has no second effect. Between two publishers the higher term decides: one that learns of a higher term refuses all
-change sets from then on, and sends its followers elsewhere.
+and has no second effect. One that starts accepts and serves nothing until its claim is settled (claim.py); it begins a
+term then. Between two publishers the higher term decides: one that learns of a higher term refuses all change sets from
+then on, and sends its followers elsewhere.
 """
 
 from array import array
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Callable, Iterable, Mapping, NamedTuple, Protocol, Sequence
+from typing import Callable, Iterable, Mapping, NamedTuple, Sequence
 
+from oakfork.control.claim import Claim, Finding
 from oakfork.control.events import (
+    BeginTerm,
     Changes,
     Command,
     Connected,
@@ -30,10 +33,12 @@
     StoreChangeSet,
     Stored,
     StoreFailed,
+    TermBegun,
+    TermFailed,
     TimerFired,
 )
 from oakfork.control.follower_server import EGRESS, MAX_LINKS, FollowerServer
-from oakfork.control.history import History
+from oakfork.control.history import Entry, stored_history
 from oakfork.control.messages import (
     MAX_FAULTS,
     Position,
@@ -52,19 +57,13 @@
 MAX_QUEUED_SETS = 64  # waiting change sets; further ones are refused
 MAX_WAITING_LINKS = 16  # links that wait for the result of one change set
 MAX_ANSWERED_IDS = 65_536  # ids whose position is remembered; the oldest are dropped
+TERMS_PER_START = 1 << 20  # terms that two copies of a database may begin next, at random
+TERM_RETRY_INTERVAL = 1_000  # milliseconds before a term is begun again after the disk has failed
 
 Parse = Callable[[bytes], tuple[Sequence[Row], Sequence[str]]]  # returns rows, or faults by their paths
 Contradictions = Callable[[Store, Sequence[Row]], Sequence[str]]
 
 
-class Entry(Protocol):
-    """A stored change set, which led from `before` to `position`."""
-
-    before: Position
-    position: Position
-    rows: Sequence[Row]
-
-
 @dataclass(slots=True)
 class _Submitted:
     id: str
@@ -81,7 +80,7 @@
 
 
 class Publisher:
-    """A publisher of `term`, which is durable already and above the term of `stored`.
+    """A publisher of `term`, which is durable already and above the term of `stored`; or of none yet, with a `claim`.
 
     `store` holds the state of position `stored`. `entries` are the change sets that led there and `ids` the positions
     of change sets, both oldest first. `on_change` is called with the changes of each change set as soon as the store
@@ -91,7 +90,7 @@
     def __init__(
         self,
         name: str,
-        term: int,
+        term: int | None,
         stored: Position,
         store: Store,
         parse: Parse,
@@ -103,20 +102,24 @@
         egress: int = EGRESS,
         max_links: int = MAX_LINKS,
         others: Sequence[str] = (),
+        claim: Claim | None = None,
     ) -> None:
-        if term <= stored.term:
+        if term is not None and term <= stored.term:
             raise DatabaseError(f"term {term} is not above the stored term {stored.term}")
         self.store = store
         self.parse = parse
         self.contradictions = contradictions
         self.on_change = on_change
-        position = Position(term, stored.number)
-        digest = total_digest(store.sums)
-        history = _stored_history(entries, stored, digest)
-        history.add(stored, position, {}, digest)  # nothing but the term has changed
-        self.follower_server = FollowerServer(
-            name, store, position, lambda now: 0, history, egress, max_links=max_links
-        )
+        history = stored_history(entries, stored, total_digest(store.sums))
+        self.follower_server = FollowerServer(name, store, stored, lambda now: 0, history, egress, max_links=max_links)
+        self.claim = claim  # None once it is settled
+        self.begun_term: int | None = term  # None until one is begun
+        self.term_requested = False
+        if term is not None:
+            self.follower_server.in_force(0, InForce(stored, Position(term, stored.number), {}))
+        else:
+            self.follower_server.outdated = True
+            self.follower_server.refusal = "claiming"
         self.answered: dict[str, Position] = dict(ids or {})
         self.queue: deque[_Submitted] = deque()  # the first one is being handled
         self.storing: _Storing | None = None
@@ -148,11 +151,14 @@
         if isinstance(event, TimerFired):
             self.timer = None  # set again below if it fired too early
         self._dispatch(now, event, commands)
+        if self.claim is not None:
+            self._check_claim(now, self.claim, commands)
         self._check_term(now, commands)
-        if isinstance(event, Step) and self.queue and self.storing is None:
-            self._process_next(commands)
-        if self.queue and self.storing is None:
-            self._schedule_step(commands)
+        if self.claim is None and self.queue and self.storing is None:
+            if isinstance(event, Step):
+                self._process_next(commands)
+            if self.queue and self.storing is None:
+                self._schedule_step(commands)
         self._set_timer(commands)
         return commands
 
@@ -171,18 +177,30 @@
                     self._answer(None, (f"not stored: {reason}",), commands)
             case Reverted(number) | RevertFailed(number):
                 self._reverted(now, number, event, commands)
+            case TermBegun(term):
+                self.begun_term = term
+            case TermFailed(reason):
+                self.term_requested = False
+                commands.append(CountEvent("not stored", reason))
+                if self.claim is not None:
+                    self.claim.ask_again(now + TERM_RETRY_INTERVAL)
             case Connected(link) | Disconnected(link) | FrameReceived(link) if link < 0:
-                self._add(self.others.handle(now, event), commands)
+                self._add(self._asking.handle(now, event), commands)
             case _:
                 self._add(self.follower_server.handle(now, event), commands)
                 if isinstance(event, TimerFired):
-                    self._add(self.others.handle(now, event), commands)
+                    self._add(self._asking.handle(now, event), commands)
                 if isinstance(event, Disconnected):
                     for submitted in self.queue:
                         submitted.links = [link for link in submitted.links if link != event.link]
 
+    @property
+    def _asking(self) -> Claim | OtherPublishers:
+        """What asks other processes: the claim while there is one."""
+        return self.claim if self.claim is not None else self.others
+
     def _set_timer(self, commands: list[Command]) -> None:
-        timers = (self.follower_server.timer, self.others.timer)
+        timers = (self.follower_server.timer, self._asking.timer)
         timer = min((at for at in timers if at is not None), default=None)
         if timer is not None and timer != self.timer:
             commands.append(SetTimer(timer))
@@ -190,7 +208,53 @@
 
     def status(self, now: int) -> bytes:
         """The status for operators, as JSON (docs/control.md)."""
-        return status(now, self.follower_server, queued=len(self.queue))
+        claim = self.claim
+        return status(
+            now,
+            self.follower_server,
+            queued=len(self.queue),
+            deciding=claim is None and not self.follower_server.outdated,
+            claim=claim.status() if claim is not None and not claim.is_refused else None,
+            later_copy=claim.latest if claim is not None and claim.finding is Finding.OLDER_COPY else None,
+        )
+
+    # The claim of a publisher that starts
+
+    def _check_claim(self, now: int, claim: Claim, commands: list[Command]) -> None:
+        """Begins a term and decides once the claim is settled; refuses all change sets once it is refused."""
+        seen_term = self.follower_server.higher_term  # of a follower that came meanwhile
+        if seen_term > claim.known_term:
+            commands += claim.refuse(Position(seen_term))
+        if claim.is_refused:
+            self._refuse_claim(claim, commands)
+        elif claim.finding is Finding.FREE:
+            if not claim.is_settled(now):
+                claim.ask_again(now)
+            elif self.begun_term is not None:
+                self._decide(now, self.begun_term, commands)
+            elif not self.term_requested:
+                self.term_requested = True
+                commands.append(BeginTerm(claim.known_term, 1 + claim.mark % TERMS_PER_START))
+
+    def _refuse_claim(self, claim: Claim, commands: list[Command]) -> None:
+        server = self.follower_server
+        if server.refusal == "claiming":  # not said yet
+            server.refusal = "older term"
+            server.higher_term = max(server.higher_term, claim.latest.term)
+            commands.append(CountEvent("older term", self._outdated_faults()[0]))
+        self._refuse_queue(commands)
+
+    def _decide(self, now: int, term: int, commands: list[Command]) -> None:
+        """From now on this publisher decides."""
+        server = self.follower_server
+        self.others.last_link = self.claim.last_link
+        self.claim = None
+        server.outdated = False
+        server.refusal = "older term"
+        server.higher_term = 0
+        position = Position(term, server.position.number)
+        self._add(server.in_force(now, InForce(server.position, position, {})), commands)
+        commands.append(CountEvent("decides", f"term {term}"))
 
     def _check_term(self, now: int, commands: list[Command]) -> None:
         """Once a higher term is known, from a follower or another publisher, refuses all change sets."""
@@ -199,10 +263,24 @@
             self.follower_server.higher_term = higher
             commands.append(CountEvent("older term", f"term {self.term}, there is a publisher of term {higher}"))
             self._add(self.follower_server.outdate(now), commands)
-        while self.follower_server.outdated and self.queue and self.storing is None:
+        if self.refuses_changes:
+            self._refuse_queue(commands)
+
+    @property
+    def refuses_changes(self) -> bool:
+        """Whether it is known that another publisher decides, or that this one must not."""
+        return self.follower_server.outdated and (self.claim is None or self.claim.is_refused)
+
+    def _refuse_queue(self, commands: list[Command]) -> None:
+        while self.queue and self.storing is None:
             self._answer(None, self._outdated_faults(), commands)
 
     def _outdated_faults(self) -> tuple[str, ...]:
+        if self.claim is not None and self.claim.finding is Finding.OLDER_COPY:
+            own, later = self.position, self.claim.latest
+            return (
+                f"older copy: the database ends at {own.term}.{own.number}, {later.term}.{later.number} was in force",
+            )
         higher = self.follower_server.higher_term
         return (f"older term: this publisher has term {self.term}, there is one of term {higher}",)
 
@@ -239,7 +317,7 @@
         position = self.answered.get(request.id)
         if position is not None:
             return SubmitResult(request.id, position, ())
-        if self.follower_server.outdated:
+        if self.refuses_changes:
             return SubmitResult(request.id, None, self._outdated_faults())
         submitted = next((queued for queued in self.queue if queued.id == request.id), None)
         if submitted is None:
@@ -317,16 +395,3 @@
         submitted = self.queue.popleft()
         frame = pack(SubmitResult(submitted.id, position, faults))
         commands += [SendFrame(link, frame) for link in submitted.links if link in self.follower_server.sessions]
-
-
-def _stored_history(entries: Iterable[Entry], stored: Position, digest: int) -> History:
-    """The history of the stored change sets; only the digest at `stored` is known."""
-    history = None
-    for entry in entries:
-        if history is None:
-            history = History(entry.before, None)
-        entry_digest = digest if entry.position == stored else None
-        history.add(entry.before, entry.position, as_changes(entry.rows), entry_digest)
-    if history is None or history.newest != stored:
-        return History(stored, digest)
-    return history
--- a/oakfork/control/status.py
+++ b/oakfork/control/status.py
@@ -45,15 +45,42 @@
     )
 
 
-class _StatusPosition(msgspec.Struct):
-    """The only key of a status that `term_of` needs."""
+class ClaimStatus(msgspec.Struct, frozen=True):
+    """The part of a status that only a publisher has which starts and does not decide yet."""
+
+    word: int  # the term up to which an operator lets it take over; 0: none
+    mark: int  # a random number of this start
+    yields_to: int  # the mark of another one that goes first; 0: none
+
+
+class ReportedStatus(msgspec.Struct, frozen=True):
+    """What publishers need of the status of another process; releases before this one have the first three keys."""
 
     position: Position
+    higher_term: int | None = None
+    phase: str | None = None  # of a relay
+    deciding: bool | None = None  # of a publisher
+    claim: ClaimStatus | None = None  # of a publisher that starts
+
+    @property
+    def known_term(self) -> int:
+        """The highest term that the process knows of."""
+        return max(self.position.term, self.higher_term or 0)
+
+    @property
+    def is_deciding(self) -> bool:
+        """Whether it is a publisher that accepts change sets."""
+        if self.deciding is None:
+            return self.phase is None and self.higher_term is None
+        return self.deciding
+
+
+_reported_status_decoder = msgspec.json.Decoder(ReportedStatus)
 
 
-def term_of(document: bytes) -> int:
-    """The term of the process that a status is of; 0 if the status can't be read."""
+def reported_status(document: bytes) -> ReportedStatus | None:
+    """The status of another process; None if it can't be read."""
     try:
-        return msgspec.json.decode(document, type=_StatusPosition).position.term
+        return _reported_status_decoder.decode(document)
     except (msgspec.MsgspecError, RecursionError, ValueError, OverflowError):
-        return 0
+        return None
--- a/oakfork/control/status_text.py
+++ b/oakfork/control/status_text.py
@@ -37,7 +37,14 @@
     lines = [f"{status['who']}: position {position_text(status['position'])} (term.number)"]
     if "follows" in status:
         lines.append(f"follows {status['follows']}: {status['phase']}, {_age_text(status['age_ms'])}")
-    if status["higher_term"]:
+    if status.get("claim"):
+        lines.append("starts: takes no change sets until it knows that no other publisher decides")
+    if status.get("later_copy"):
+        lines.append(
+            f"OLDER COPY: {position_text(status['later_copy'])} was in force, which its database does not have; "
+            "this one takes no change sets"
+        )
+    elif status["higher_term"]:
         lines.append(f"OLDER TERM: there is a publisher of term {status['higher_term']}; this one takes no change sets")
     if status["everywhere"]:
         lines.append(f"in force at all {status['connected']} that are connected")
