Let a publisher start again whose last term has no change set yet

What was seen: a publisher that was started twice with no change set in between was refused for good, "older term: this publisher has term 342163, there is one of term 1034101". Both terms were its own.

Cause: one that decides puts its term in force at once, so the relay has (new term, old number). The claim compared that with the position of the last change set in the database alone, and took it for a later publisher's. The check of a follower that comes during the claim did the same.

Now a claim knows the last term that its database has begun. The state at the begin of that term is the database's own; any other term above that of the state is still a later publisher's, also one below the term that was begun, since that may have been begun in vain.

In the search the relay hears of a term before its first change set and publishers die between begin and decision; it finds the variant that takes all terms below the last one begun for older.

Also in the search: a take-over by the operator's word ends what counts as accepted before it; without that the search named a loss that the word allows.

--- a/oakfork/control/claim.py
+++ b/oakfork/control/claim.py
@@ -41,14 +41,17 @@
 
 
 class Claim:
-    """The claim of one publisher that starts, whose database ends at `stored`.
+    """The claim of one publisher that starts, whose database ends at `stored` and has begun `begun_term` last.
 
     `mark` is a random number of this start, above 0. Deliver a `TimerFired` when `timer` is due, at first at once.
     """
 
-    def __init__(self, others: Sequence[str], stored: Position, above_term: int, mark: int) -> None:
+    def __init__(
+        self, others: Sequence[str], stored: Position, above_term: int, mark: int, begun_term: int = 0
+    ) -> None:
         self.others = others
         self.stored = stored
+        self.begun_term = max(begun_term, stored.term)
         self.word = above_term if above_term >= stored.term else 0  # the operator's; 0 if there is none or it is spent
         self.mark = mark
         self.yields_to = 0  # the mark of a publisher that starts too and goes first
@@ -63,8 +66,8 @@
 
     @property
     def known_term(self) -> int:
-        """The highest term that an answer shows, or that the operator's word names."""
-        return max(self.latest.term, self.word)
+        """The highest term that the database or an answer shows, or that the operator's word names."""
+        return max(self.begun_term, self.latest.term, self.word)
 
     def is_settled(self, now: int) -> bool:
         """Whether this publisher may decide at `now`."""
@@ -158,11 +161,26 @@
         if self._is_covered(status):
             waits = status.is_deciding and now < self.first_asked_at + TAKEOVER_TIME
             return Finding.WAIT if waits else Finding.FREE
-        if status.known_term > self.stored.term:
+        if self._is_later(status.known_term):
             return Finding.SUPERSEDED
         if status.is_deciding:
-            return Finding.SUPERSEDED if status.known_term == self.stored.term else Finding.WAIT
-        return Finding.OLDER_COPY if status.position > self.stored else Finding.FREE
+            return Finding.WAIT if status.known_term < self.stored.term else Finding.SUPERSEDED
+        return Finding.FREE if self._has(status.position) else Finding.OLDER_COPY
+
+    def is_superseded_by(self, term: int) -> bool:
+        """Whether a term that somebody has is that of a later publisher, and not covered by the operator's word."""
+        return term > self.word and self._is_later(term)
+
+    def _is_later(self, term: int) -> bool:
+        """Whether a term is above that of the database's state, and not the last one that the database began itself."""
+        return term > self.stored.term and term != self.begun_term
+
+    def _has(self, position: Position) -> bool:
+        """Whether the database has all that was in force at a position.
+
+        The last term that it began may have no change set yet: its first position is that of the state before.
+        """
+        return position <= self.stored or position == Position(self.begun_term, self.stored.number)
 
     def _is_covered(self, status: ReportedStatus) -> bool:
         """Whether the operator's word lets this publisher take over from all that an answer shows.
--- a/oakfork/control/processes.py
+++ b/oakfork/control/processes.py
@@ -72,6 +72,9 @@
     database.loaded = None
     index = StateIndex(loaded.records)
     claims = mark is not None
+    claim = None
+    if claims:
+        claim = Claim(config.others, loaded.position, config.above_term, mark, begun_term=database.term)
     machine = _Publisher(
         config.full_name,
         None if claims else database.begin_term(config.above_term),
@@ -85,7 +88,7 @@
         egress=config.egress,
         max_links=config.connections,
         others=config.others,
-        claim=Claim(config.others, loaded.position, config.above_term, mark) if claims else None,
+        claim=claim,
     )
     machine.engine = Engine(machine, log, config.connections, database=database)
     return machine.engine
--- a/oakfork/control/publisher.py
+++ b/oakfork/control/publisher.py
@@ -223,7 +223,7 @@
     def _check_claim(self, now: int, claim: Claim, commands: list[Command]) -> None:
         """Begins a term and decides once the claim is settled; refuses all change sets once it is refused."""
         seen_term = self.follower_server.higher_term  # of a follower that came meanwhile
-        if seen_term > claim.known_term:
+        if claim.is_superseded_by(seen_term):
             commands += claim.refuse(Position(seen_term))
         if claim.is_refused:
             self._refuse_claim(claim, commands)
--- a/tests/claim_search.py
+++ b/tests/claim_search.py
@@ -2,7 +2,8 @@
 
 Nobody is cut off: a question gets the answer of its moment, or none from a process that does not run. The one who asked
 acts on its answers at any later time, but after a stop they are too old. A publisher that decides is not stopped, and
-the relay runs on: what would come of these is in docs/control.md.
+the relay runs on: what would come of these is in docs/control.md. The relay may or may not hear of a term before the
+first change set in it.
 """
 
 from collections.abc import Iterator
@@ -30,6 +31,7 @@
     """One publisher: its disk and file, and its process if that runs."""
 
     stored: Position = EMPTY  # the last change set on its disk
+    begun_term: int = 0  # the last one on its disk
     word: int = 0  # the operator's, in its file
     starts: int = 0
     up: bool = False
@@ -96,16 +98,20 @@
         """A publisher that does not run starts, or gets a copy of the other's disk first."""
         publisher = state.publishers[index]
         if state.starts:
-            started = PublisherState(publisher.stored, publisher.word, publisher.starts + 1, up=True)
+            started = publisher._replace(
+                starts=publisher.starts + 1, up=True, yields_to=0, finding=Finding.WAIT, higher_term=0
+            )
             yield _with(state._replace(starts=state.starts - 1), index, started)
         if state.copies:
-            stored = state.publishers[1 - index].stored
+            source = state.publishers[1 - index]
+            stored = source.stored
             after = state._replace(copies=state.copies - 1)
-            yield _with(after, index, PublisherState(stored, 0, publisher.starts))
-            yield _with(after, index, PublisherState(stored, state.relay.term, publisher.starts))  # by the page's steps
+            copy = PublisherState(stored, source.begun_term, starts=publisher.starts)
+            yield _with(after, index, copy)
+            yield _with(after, index, copy._replace(word=state.relay.term))  # by the page's steps
             if stored.number:
                 earlier = Position(stored.term, stored.number - 1)
-                yield _with(after, index, PublisherState(earlier, 0, publisher.starts))
+                yield _with(after, index, copy._replace(stored=earlier, begun_term=stored.term))
 
     def _claim_steps(self, state: State, index: int) -> Iterator[State]:
         """It asks, or acts on its answers; or it is stopped."""
@@ -123,13 +129,18 @@
         after = _replaced(state, index, finding=claim.finding, yields_to=claim.yields_to, answers=None)
         if claim.finding is Finding.FREE:
             self.decisions += 1
-            yield _decides(after, index, max(claim.known_term, publisher.stored.term) + 1 + claim.mark)
+            term = claim.known_term + 1 + claim.mark
+            begun = _replaced(after, index, begun_term=term)
+            yield _replaced(begun, index, up=False)  # killed in between
+            decided = _decides(begun, index, term)
+            yield decided
+            yield decided._replace(relay=max(state.relay, Position(term, publisher.stored.number)))
         else:
             yield _replaced(after, index, higher_term=max(status.known_term for status in claim.answers))
 
     def _claim(self, publisher: PublisherState, index: int) -> Claim:
         mark = FIRST_MARKS[index] + MARK_STEP * publisher.starts
-        claim = self.claim_class(("other", "relay"), publisher.stored, publisher.word, mark)
+        claim = self.claim_class(("other", "relay"), publisher.stored, publisher.word, mark, publisher.begun_term)
         claim.yields_to = publisher.yields_to
         claim.first_asked_at = NOW
         return claim
@@ -179,6 +190,8 @@
     publisher, other = state.publishers[index], state.publishers[1 - index]
     if other.deciding:
         raise TwoDecideError(f"publisher {index} decides beside the other, which has term {other.deciding}")
-    if publisher.stored < state.accepted and state.accepted.term > publisher.word:
-        raise ChangeSetLostError(f"{state.accepted} is undone by a publisher whose disk ends at {publisher.stored}")
+    if publisher.stored < state.accepted:
+        if state.accepted.term > publisher.word:
+            raise ChangeSetLostError(f"{state.accepted} is undone by a publisher whose disk ends at {publisher.stored}")
+        state = state._replace(accepted=publisher.stored)  # the operator has given up the rest
     return _replaced(state, index, deciding=term)
--- a/tests/test_control_claim_search.py
+++ b/tests/test_control_claim_search.py
@@ -4,6 +4,7 @@
 from claim_search import ChangeSetLostError, Search, State, TwoDecideError
 
 from oakfork.control.claim import Claim, Finding
+from oakfork.control.messages import Position
 
 CASES = {
     "both start at once": (State(starts=4, stops=1), 99, 1_000),
@@ -72,7 +73,18 @@
         return Finding.FREE if self.word and status.claim is None else super().compare(now, status)
 
 
+class TrustsATermBegunInVain(Claim):
+    """Takes all terms below the last one that its database began for older than its state."""
+
+    def _is_later(self, term):
+        return term > self.begun_term
+
+    def _has(self, position):
+        return position <= Position(self.begun_term, self.stored.number)
+
+
 VARIANTS = {
+    TrustsATermBegunInVain: ChangeSetLostError,
     IgnoresOthersThatStart: TwoDecideError,
     DoesNotWaitForTheOtherToYield: TwoDecideError,
     AsksNoRelays: ChangeSetLostError,
--- a/tests/test_control_two_publishers.py
+++ b/tests/test_control_two_publishers.py
@@ -6,6 +6,8 @@
 import pytest
 from publisher_fleet import SETTLE_TIME, PublisherFleet, is_accepted
 
+from oakfork.control.messages import Position
+
 
 @pytest.fixture
 def fleet(tmp_path):
@@ -79,3 +81,19 @@
     accepted = fleet.publish_when_it_decides("two", "c")
     assert accepted.number == 2 and accepted.term > latest.term
     fleet.wait_for("relay", lambda status: tuple(status["position"]) == tuple(accepted))
+
+
+@pytest.mark.timeout(90)
+def test_a_publisher_that_is_started_again_and_again_without_a_change_set_decides(fleet):
+    """Guards against a publisher that is refused for good by its own last term, which the relay has heard of."""
+    fleet.start("one", ["relay"])
+    fleet.start_relay()
+    last = fleet.publish_when_it_decides("one", "a")
+    for _ in range(3):
+        fleet.processes.kill("one")
+        fleet.start("one", ["relay"])
+        fleet.wait_for("relay", lambda status, last=last: status["position"][0] > last.term)
+        last = Position(*fleet.status("relay")["position"])
+    assert last.number == 1
+    accepted = fleet.publish_when_it_decides("one", "b")
+    assert accepted.number == 2
