Remember all terms that a database has begun since its last change set

What would have been seen: a publisher decides, begins another term at its next start and is killed before it decides; at the start after that the relay shows the first of these terms, and the publisher is refused for good.

Cause: the database kept the last term only. Now it keeps all that were begun since its last change set, 256 at most, in a table of its own; databases of the release before have the last one, and that release opens the new ones.

Also: what a locked, identified and durable SQLite file needs is in sqlite_file.py, since voters will have one too; the parts of a publisher that open links share one series of numbers. A test patches LOCK_TIMEOUT where it is now.

--- a/oakfork/control/claim.py
+++ b/oakfork/control/claim.py
@@ -7,7 +7,8 @@
 """
 
 from enum import Enum
-from typing import Sequence
+from itertools import count
+from typing import Iterator, Sequence
 
 from oakfork.control.events import (
     Close,
@@ -41,17 +42,25 @@
 
 
 class Claim:
-    """The claim of one publisher that starts, whose database ends at `stored` and has begun `begun_term` last.
+    """The claim of one publisher that starts, whose database ends at `stored` and has begun `begun_terms` since.
 
     `mark` is a random number of this start, above 0. Deliver a `TimerFired` when `timer` is due, at first at once.
+    `link_numbers` is shared with the other parts of the publisher that open links.
     """
 
     def __init__(
-        self, others: Sequence[str], stored: Position, above_term: int, mark: int, begun_term: int = 0
+        self,
+        others: Sequence[str],
+        stored: Position,
+        above_term: int,
+        mark: int,
+        begun_terms: Sequence[int] = (),
+        link_numbers: Iterator[int] | None = None,
     ) -> None:
         self.others = others
         self.stored = stored
-        self.begun_term = max(begun_term, stored.term)
+        self.begun_terms = frozenset(begun_terms)
+        self.link_numbers = link_numbers or count(-1, -1)
         self.word = above_term if above_term >= stored.term else 0  # the operator's; 0 if there is none or it is spent
         self.mark = mark
         self.yields_to = 0  # the mark of a publisher that starts too and goes first
@@ -61,13 +70,13 @@
         self.first_asked_at: int | None = None
         self.links: dict[int, str] = {}  # without an answer yet, of the round that is open; address by link
         self.answers: list[ReportedStatus] = []  # of that round
-        self.last_link = 0
+        self.granted_term = 0  # the highest that a voter is known to have granted
         self.timer: int | None = 0  # None once nothing more is asked
 
     @property
     def known_term(self) -> int:
         """The highest term that the database or an answer shows, or that the operator's word names."""
-        return max(self.begun_term, self.latest.term, self.word)
+        return max(self.stored.term, *self.begun_terms, self.latest.term, self.granted_term, self.word)
 
     def is_settled(self, now: int) -> bool:
         """Whether this publisher may decide at `now`."""
@@ -116,8 +125,7 @@
         self.answers = []
         self.yields_to = 0  # else the other might decide by that, and this one because the other does not answer
         for address in self.others:
-            self.last_link -= 1
-            self.links[self.last_link] = address
+            self.links[next(self.link_numbers)] = address
         self.timer = now + ROUND_TIMEOUT
         if not self.links:
             self.end_round(now)
@@ -165,22 +173,23 @@
             return Finding.SUPERSEDED
         if status.is_deciding:
             return Finding.WAIT if status.known_term < self.stored.term else Finding.SUPERSEDED
-        return Finding.FREE if self._has(status.position) else Finding.OLDER_COPY
+        return Finding.FREE if self.has(status.position) else Finding.OLDER_COPY
 
     def is_superseded_by(self, term: int) -> bool:
         """Whether a term that somebody has is that of a later publisher, and not covered by the operator's word."""
         return term > self.word and self._is_later(term)
 
     def _is_later(self, term: int) -> bool:
-        """Whether a term is above that of the database's state, and not the last one that the database began itself."""
-        return term > self.stored.term and term != self.begun_term
+        """Whether a term is above that of the database's state, and not one that the database began itself."""
+        return term > self.stored.term and term not in self.begun_terms
 
-    def _has(self, position: Position) -> bool:
+    def has(self, position: Position) -> bool:
         """Whether the database has all that was in force at a position.
 
-        The last term that it began may have no change set yet: its first position is that of the state before.
+        The terms that it began since its last change set have none yet: their first position is the state as it is.
         """
-        return position <= self.stored or position == Position(self.begun_term, self.stored.number)
+        is_begun = position.term in self.begun_terms and position.number == self.stored.number
+        return position <= self.stored or is_begun
 
     def _is_covered(self, status: ReportedStatus) -> bool:
         """Whether the operator's word lets this publisher take over from all that an answer shows.
--- a/oakfork/control/database.py
+++ b/oakfork/control/database.py
@@ -7,26 +7,21 @@
 them in a worker thread.
 """
 
-import sqlite3
-import threading
-from contextlib import contextmanager, suppress
 from pathlib import Path
-from typing import Iterator, NamedTuple, Sequence
+from typing import NamedTuple, Sequence
 
 import msgspec
 
 from oakfork.control.messages import Kind, Position, Row
+from oakfork.control.sqlite_file import SqliteFile
 from oakfork.control.state import Records, as_changes, total_digest, updated_sums
 from oakfork.errors import DatabaseError
 
-APPLICATION_ID = 0x6F616B66  # "oakf"
-SCHEMA_VERSION = 1  # stored as user_version
 MAX_LOG_SETS = 4096  # change sets in the log; beyond this or MAX_LOG_ROWS the oldest are compacted
 MAX_LOG_ROWS = 65_536  # rows in the log
 SETS_PER_COMPACTION = 64  # change sets in one transaction
 MAX_IDS = 65_536  # of change sets; the oldest are dropped
 IDS_DROPPED_AT_ONCE = 64  # in one transaction
-LOCK_TIMEOUT = 1.0  # seconds for another publisher to release the database
 DIGEST_SIGN_BIT = 1 << 63  # digests are unsigned 64-bit integers, SQLite's integers are signed
 
 TABLES = """
@@ -37,6 +32,9 @@
 CREATE INDEX ids_by_age ON ids (term, number);
 CREATE TABLE snapshot (kind INTEGER, name TEXT, value BLOB NOT NULL, PRIMARY KEY (kind, name)) WITHOUT ROWID;
 """
+# The terms that were begun since the last change set was stored. Databases of the release before lack it.
+BEGUN_TABLE = "CREATE TABLE IF NOT EXISTS begun (term INTEGER PRIMARY KEY)"
+MAX_BEGUN_TERMS = 256  # the lowest are dropped
 KEPT_KEYS = ("term", "snapshot_term", "snapshot_number", "snapshot_digest", "last_term", "last_number")
 SNAPSHOT_KEYS = KEPT_KEYS[1:4]
 LAST_KEYS = KEPT_KEYS[4:]
@@ -71,60 +69,27 @@
     return digest % (2 * DIGEST_SIGN_BIT)
 
 
-class Database:
-    """A database opened for one publisher.
+class Database(SqliteFile):
+    """A database opened for one publisher. The caller may take over `loaded` and set it to None."""
 
-    The caller may take over `loaded` and set it to None. All methods raise DatabaseError only. Except for `close`, only
-    one thread may use it at a time.
-    """
+    APPLICATION_ID = 0x6F616B66  # "oakf"
+    SCHEMA_VERSION = 1
+    OWNER = "publisher"
 
     def __init__(self, path: str | Path, max_log_sets: int = MAX_LOG_SETS, max_ids: int = MAX_IDS) -> None:
-        self.path = path
         self.max_log_sets = max_log_sets
         self.max_ids = max_ids
-        # Closing a connection while another thread executes a statement ends the process with SIGSEGV. With this lock,
-        # closing waits for that transaction, and later ones are refused.
-        self.lock = threading.Lock()
-        self.connection: sqlite3.Connection | None = None
-        try:
-            self.connection = sqlite3.connect(path, timeout=LOCK_TIMEOUT, isolation_level=None, check_same_thread=False)
-            self._open()
-            self.loaded: Loaded | None = self._load()
-            self.position = self.loaded.position
-        except (sqlite3.Error, msgspec.MsgspecError, AttributeError, ValueError, TypeError, OverflowError) as error:
-            self.close()
-            raise DatabaseError(f"{path}: {error}") from None
-        except DatabaseError:
-            self.close()
-            raise
-
-    def _open(self) -> None:
-        """Locks the file and checks that it is a publisher's or empty, before anything in it is changed."""
-        identity = (self._one("PRAGMA application_id"), self._one("PRAGMA user_version"))
-        empty = not self._one("SELECT count(*) FROM sqlite_master")
-        if identity != (APPLICATION_ID, SCHEMA_VERSION) and not (empty and identity == (0, 0)):
-            raise DatabaseError(f"{self.path}: not the database of a publisher of this version")
-        self.connection.execute("PRAGMA locking_mode=EXCLUSIVE")
-        if self._one("PRAGMA journal_mode=WAL") != "wal":
-            raise DatabaseError(f"{self.path}: its file system does not support a write-ahead log")
-        self.connection.execute("PRAGMA synchronous=FULL")
-        self.connection.execute("BEGIN IMMEDIATE")
-        if empty:
-            self._create_tables()
-        self.connection.execute("COMMIT")
-        if (found := self._one("PRAGMA quick_check(1)")) != "ok":
-            raise DatabaseError(f"{self.path}: damaged: {found}")
+        super().__init__(path)
+
+    def _load(self) -> None:
+        self.connection.execute(BEGUN_TABLE)
+        self.loaded: Loaded | None = self._read()
+        self.position = self.loaded.position
 
     def _create_tables(self) -> None:
         for statement in TABLES.split(";"):
             self.connection.execute(statement)
         self.connection.executemany("INSERT INTO kept VALUES (?, 0)", [(key,) for key in KEPT_KEYS])
-        self.connection.execute(f"PRAGMA application_id={APPLICATION_ID}")
-        self.connection.execute(f"PRAGMA user_version={SCHEMA_VERSION}")
-
-    def _one(self, statement: str, *values: object) -> object:
-        row = self.connection.execute(statement, values).fetchone()
-        return row[0] if row else None
 
     def _kept(self, key: str) -> int:
         value = self._one("SELECT value FROM kept WHERE key = ?", key)
@@ -137,7 +102,13 @@
         """The last term begun."""
         return self._kept("term")
 
-    def _load(self) -> Loaded:
+    @property
+    def begun_terms(self) -> tuple[int, ...]:
+        """The terms begun since the last change set was stored: the first position of each is the state as it is."""
+        rows = self.connection.execute("SELECT term FROM begun").fetchall()
+        return (self.term, *(term for (term,) in rows))
+
+    def _read(self) -> Loaded:
         """Reads the snapshot, applies the log to it and verifies the digests."""
         position = Position(self._kept("snapshot_term"), self._kept("snapshot_number"))
         store = Records()
@@ -175,6 +146,11 @@
         with self._transaction():
             term = max(self.term, above) + 1 + beyond
             self.connection.execute("UPDATE kept SET value = ? WHERE key = 'term'", (term,))
+            self.connection.execute("INSERT OR IGNORE INTO begun VALUES (?)", (term,))
+            self.connection.execute(
+                "DELETE FROM begun WHERE term IN (SELECT term FROM begun ORDER BY term DESC LIMIT -1 OFFSET ?)",
+                (MAX_BEGUN_TERMS,),
+            )
         return term
 
     def position_of(self, id: str) -> Position | None:
@@ -200,6 +176,7 @@
                 (*position, id, _signed(digest), len(rows), msgspec.msgpack.encode(tuple(rows))),
             )
             self.connection.execute("INSERT OR REPLACE INTO ids VALUES (?, ?, ?)", (id, *position))
+            self.connection.execute("DELETE FROM begun")
             self.connection.execute(
                 "DELETE FROM ids WHERE id IN (SELECT id FROM ids ORDER BY term DESC, number DESC LIMIT ? OFFSET ?)",
                 (IDS_DROPPED_AT_ONCE, self.max_ids),
@@ -260,27 +237,3 @@
         count, size = self.connection.execute("SELECT count(*), coalesce(sum(size), 0) FROM log").fetchone()
         too_many_rows = size > MAX_LOG_ROWS and count > 1
         return min(SETS_PER_COMPACTION, max(count - self.max_log_sets, int(too_many_rows)))
-
-    @contextmanager
-    def _transaction(self) -> Iterator[None]:
-        """Commits what is executed inside, or rolls it back on any error."""
-        with self.lock:
-            if self.connection is None:
-                raise DatabaseError(f"{self.path}: closed")
-            try:
-                self.connection.execute("BEGIN IMMEDIATE")
-                yield
-                self.connection.execute("COMMIT")
-            except (sqlite3.Error, msgspec.MsgspecError) as error:
-                raise DatabaseError(f"{self.path}: {error}") from None
-            finally:
-                with suppress(sqlite3.Error):
-                    if self.connection.in_transaction:
-                        self.connection.execute("ROLLBACK")
-
-    def close(self) -> None:
-        """Closes the database, after waiting for a transaction of another thread."""
-        with self.lock:
-            if self.connection is not None:
-                self.connection.close()
-                self.connection = None
--- a/oakfork/control/other_publishers.py
+++ b/oakfork/control/other_publishers.py
@@ -4,7 +4,7 @@
 learns of the other, even if no process follows both.
 """
 
-from typing import Sequence
+from typing import Iterator, Sequence
 
 from oakfork.control.events import (
     Close,
@@ -24,13 +24,16 @@
 
 
 class OtherPublishers:
-    """Polls the publishers at `addresses`. `highest_term` is the highest term that one reported, 0 if none did."""
+    """Polls the publishers at `addresses`. `highest_term` is the highest term that one reported, 0 if none did.
 
-    def __init__(self, addresses: Sequence[str]) -> None:
+    `link_numbers` is shared with the other parts of the publisher that open links.
+    """
+
+    def __init__(self, addresses: Sequence[str], link_numbers: Iterator[int]) -> None:
         self.addresses = addresses
         self.highest_term = 0
         self.open_links: set[int] = set()  # one for each address at most
-        self.last_link = 0
+        self.link_numbers = link_numbers
         self.next_poll = 0
 
     @property
@@ -64,8 +67,8 @@
         commands: list[Command] = [Close(link, "no answer") for link in sorted(self.open_links)]
         self.open_links.clear()
         for address in self.addresses:
-            self.last_link -= 1
-            self.open_links.add(self.last_link)
-            commands.append(Connect(address, self.last_link))
+            link = next(self.link_numbers)
+            self.open_links.add(link)
+            commands.append(Connect(address, link))
         self.next_poll = now + POLL_INTERVAL
         return commands
--- a/oakfork/control/processes.py
+++ b/oakfork/control/processes.py
@@ -74,7 +74,7 @@
     claims = mark is not None
     claim = None
     if claims:
-        claim = Claim(config.others, loaded.position, config.above_term, mark, begun_term=database.term)
+        claim = Claim(config.others, loaded.position, config.above_term, mark, database.begun_terms)
     machine = _Publisher(
         config.full_name,
         None if claims else database.begin_term(config.above_term),
--- a/oakfork/control/publisher.py
+++ b/oakfork/control/publisher.py
@@ -7,6 +7,7 @@
 then on, and sends its followers elsewhere.
 """
 
+import itertools
 from array import array
 from collections import deque
 from dataclasses import dataclass, field
@@ -125,7 +126,8 @@
         self.storing: _Storing | None = None
         # The id of a change set that was stored and could not be reverted; it is never answered.
         self.undecided_id: str | None = None
-        self.others = OtherPublishers(others)
+        self.link_numbers = claim.link_numbers if claim else itertools.count(-1, -1)
+        self.others = OtherPublishers(others, self.link_numbers)
         self.timer: int | None = None
         self.step_scheduled = False
 
@@ -247,7 +249,6 @@
     def _decide(self, now: int, term: int, commands: list[Command]) -> None:
         """From now on this publisher decides."""
         server = self.follower_server
-        self.others.last_link = self.claim.last_link
         self.claim = None
         server.outdated = False
         server.refusal = "older term"
--- a/tests/claim_search.py
+++ b/tests/claim_search.py
@@ -31,7 +31,7 @@
     """One publisher: its disk and file, and its process if that runs."""
 
     stored: Position = EMPTY  # the last change set on its disk
-    begun_term: int = 0  # the last one on its disk
+    begun_terms: tuple[int, ...] = (0,)  # on its disk since the last change set
     word: int = 0  # the operator's, in its file
     starts: int = 0
     up: bool = False
@@ -106,12 +106,12 @@
             source = state.publishers[1 - index]
             stored = source.stored
             after = state._replace(copies=state.copies - 1)
-            copy = PublisherState(stored, source.begun_term, starts=publisher.starts)
+            copy = PublisherState(stored, source.begun_terms, starts=publisher.starts)
             yield _with(after, index, copy)
             yield _with(after, index, copy._replace(word=state.relay.term))  # by the page's steps
             if stored.number:
                 earlier = Position(stored.term, stored.number - 1)
-                yield _with(after, index, copy._replace(stored=earlier, begun_term=stored.term))
+                yield _with(after, index, copy._replace(stored=earlier, begun_terms=(stored.term,)))
 
     def _claim_steps(self, state: State, index: int) -> Iterator[State]:
         """It asks, or acts on its answers; or it is stopped."""
@@ -130,7 +130,7 @@
         if claim.finding is Finding.FREE:
             self.decisions += 1
             term = claim.known_term + 1 + claim.mark
-            begun = _replaced(after, index, begun_term=term)
+            begun = _replaced(after, index, begun_terms=(*publisher.begun_terms, term))
             yield _replaced(begun, index, up=False)  # killed in between
             decided = _decides(begun, index, term)
             yield decided
@@ -140,7 +140,7 @@
 
     def _claim(self, publisher: PublisherState, index: int) -> Claim:
         mark = FIRST_MARKS[index] + MARK_STEP * publisher.starts
-        claim = self.claim_class(("other", "relay"), publisher.stored, publisher.word, mark, publisher.begun_term)
+        claim = self.claim_class(("other", "relay"), publisher.stored, publisher.word, mark, publisher.begun_terms)
         claim.yields_to = publisher.yields_to
         claim.first_asked_at = NOW
         return claim
@@ -161,7 +161,7 @@
         publisher = state.publishers[index]
         if state.sets:
             position = Position(publisher.deciding, publisher.stored.number + 1)
-            after = _replaced(state._replace(sets=state.sets - 1), index, stored=position)
+            after = _replaced(state._replace(sets=state.sets - 1), index, stored=position, begun_terms=(position.term,))
             yield after._replace(relay=max(state.relay, position), accepted=max(state.accepted, position))
         status = self._reported(state, 1 - index)
         if status is not None:
--- a/tests/test_control_claim.py
+++ b/tests/test_control_claim.py
@@ -40,9 +40,9 @@
     return {"position": position, "deciding": False, "claim": {"word": word, "mark": mark, "yields_to": yields_to}}
 
 
-def finding(*answers, stored=STORED, above_term=0, now=0, begun_term=0):
+def finding(*answers, stored=STORED, above_term=0, now=0, begun_terms=()):
     """What a claim finds in a round of answers, `now` milliseconds after its first question; None: no answer."""
-    claim = Claim([f"other-{number}" for number, _ in enumerate(answers)], stored, above_term, MARK, begun_term)
+    claim = Claim([f"other-{number}" for number, _ in enumerate(answers)], stored, above_term, MARK, begun_terms)
     claim.first_asked_at = 0
     for connect in claim.handle(now, TimerFired()):
         answer = answers[-1 - connect.link]
@@ -99,27 +99,32 @@
     "it finds itself": ((claim_status(mark=MARK),), {}, Finding.FREE),
     "a relay is at the begin of the own last term": (
         ({"position": (20, 3), "phase": "following"},),
-        {"begun_term": 20},
+        {"begun_terms": (18, 20)},
+        Finding.FREE,
+    ),
+    "... and of one before that": (
+        ({"position": (18, 3), "phase": "following"},),
+        {"begun_terms": (18, 20)},
         Finding.FREE,
     ),
     "... and has heard of that term only": (
         ({"position": (7, 3), "higher_term": 20, "phase": "following"},),
-        {"begun_term": 20},
+        {"begun_terms": (18, 20)},
         Finding.FREE,
     ),
     "... and has a change set of it that a copy lacks": (
         ({"position": (20, 4), "phase": "following"},),
-        {"begun_term": 20},
+        {"begun_terms": (18, 20)},
         Finding.OLDER_COPY,
     ),
     "the original of a copy decides in that term": (
         ({"position": (20, 3)} | DECIDING,),
-        {"begun_term": 20},
+        {"begun_terms": (18, 20)},
         Finding.SUPERSEDED,
     ),
     "another term came before the one that was begun in vain": (
         ({"position": (15, 3), "phase": "following"},),
-        {"begun_term": 20},
+        {"begun_terms": (18, 20)},
         Finding.SUPERSEDED,
     ),
     "an answer that is none": (({"who": "q"},), {}, Finding.FREE),
@@ -147,8 +152,8 @@
 class Starting:
     """A publisher that starts, with its peers."""
 
-    def __init__(self, others=("q",), stored=STORED, above_term=0, begun_term=0):
-        claim = Claim(others, stored, above_term, MARK, begun_term)
+    def __init__(self, others=("q",), stored=STORED, above_term=0, begun_terms=()):
+        claim = Claim(others, stored, above_term, MARK, begun_terms)
         machine = Publisher("p", None, stored, Records(), parse, contradictions, others=others, claim=claim)
         self.peer = ScriptedPeer(machine)
         self.begun = []
@@ -238,10 +243,10 @@
     assert not start.begun and len(start.peer.connects) == 1
 
 
-@pytest.mark.parametrize("term, is_refused", [(20, False), (15, True), (21, True)])
+@pytest.mark.parametrize("term, is_refused", [(20, False), (18, False), (15, True), (21, True)])
 def test_a_follower_in_the_term_that_the_database_began_last_refuses_nothing(term, is_refused):
     """Guards against a publisher without a new change set that is refused by its own last term."""
-    start = Starting(others=(), begun_term=20)
+    start = Starting(others=(), begun_terms=(18, 20))
     start.peer.deliver(Connected(2))
     start.peer.send(2, Hello(VERSION, "gateway", False, Position(term, 3), 0))
     start.peer.deliver(TermBegun(21 + MARK))
--- a/tests/test_control_claim_search.py
+++ b/tests/test_control_claim_search.py
@@ -77,10 +77,11 @@
     """Takes all terms below the last one that its database began for older than its state."""
 
     def _is_later(self, term):
-        return term > self.begun_term
+        return term > max(self.begun_terms)
 
-    def _has(self, position):
-        return position <= Position(self.begun_term, self.stored.number)
+    def has(self, position):
+        """Everything in a lower term is older."""
+        return position <= Position(max(self.begun_terms), self.stored.number)
 
 
 VARIANTS = {
--- a/tests/test_control_database.py
+++ b/tests/test_control_database.py
@@ -10,7 +10,7 @@
 import pytest
 from lab_worlds import ROOT
 
-from oakfork.control import database as database_module
+from oakfork.control import database as database_module, sqlite_file
 from oakfork.control.database import Database
 from oakfork.control.messages import Kind, Position, Row
 from oakfork.control.state import Records, as_changes, total_digest, updated_sums
@@ -160,6 +160,35 @@
     assert len(Database(tmp_path / "db").loaded.entries) == 2
 
 
+def test_all_terms_since_the_last_change_set_are_remembered(tmp_path):
+    """Guards against a publisher that is refused by a term of its own, after another one that came to nothing."""
+    for start in range(database_module.MAX_BEGUN_TERMS + 3):
+        publisher = Publisher(tmp_path / "db")
+        terms = publisher.database.begun_terms
+        assert set(terms) == set(range(max(1, start + 2 - database_module.MAX_BEGUN_TERMS), start + 2))
+        if start < database_module.MAX_BEGUN_TERMS + 2:
+            publisher.database.close()
+    publisher.commit(put("a"))
+    assert publisher.database.begun_terms == (publisher.term,)
+    publisher.database.close()
+
+
+def test_a_database_of_the_release_before_has_the_last_term(tmp_path):
+    """It lacks the table of terms; the release before opens one that has it."""
+    with sqlite3.connect(tmp_path / "db") as connection:
+        for statement in database_module.TABLES.split(";"):
+            connection.execute(statement)
+        keys = [(key, 0) for key in database_module.KEPT_KEYS]
+        connection.executemany("INSERT INTO kept VALUES (?, ?)", keys)
+        connection.execute("UPDATE kept SET value = 7 WHERE key = 'term'")
+        connection.execute(f"PRAGMA application_id={Database.APPLICATION_ID}")
+        connection.execute(f"PRAGMA user_version={Database.SCHEMA_VERSION}")
+    connection.close()
+    database = Database(tmp_path / "db")
+    assert database.begun_terms == (7,)
+    database.close()
+
+
 def test_a_reverted_change_set_is_gone_after_reopening(tmp_path):
     """Only the last change set of the log can be reverted, also repeatedly; one in the snapshot can't."""
     publisher = Publisher(tmp_path / "db", max_log_sets=2)
@@ -197,7 +226,7 @@
 
 def test_a_database_is_used_by_one_publisher_at_a_time(tmp_path, monkeypatch):
     """A second publisher can open it only after the first has closed it."""
-    monkeypatch.setattr(database_module, "LOCK_TIMEOUT", 0.05)
+    monkeypatch.setattr(sqlite_file, "LOCK_TIMEOUT", 0.05)
     first = Database(tmp_path / "db")
     with pytest.raises(DatabaseError):
         Database(tmp_path / "db")
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -1,5 +1,6 @@
 """The publisher: queue, durability, answers, and what it learns of other publishers."""
 
+import itertools
 from types import SimpleNamespace
 
 import msgspec
@@ -193,7 +194,7 @@
 
 def test_other_publishers_are_polled_for_their_terms():
     """Answers that are malformed, and publishers that don't answer, don't stop the polls."""
-    peer = ScriptedPeer(OtherPublishers(("q", "r")))
+    peer = ScriptedPeer(OtherPublishers(("q", "r"), itertools.count(-1, -1)))
     peer.deliver(TimerFired())
     assert peer.connects == [("q", -1), ("r", -2)]
     peer.deliver(Connected(-1))
