--- a/oakfork/control/sqlite_file.py
+++ b/oakfork/control/sqlite_file.py
@@ -2,6 +2,7 @@
 
 import sqlite3
 import threading
+from abc import ABC, abstractmethod
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import ClassVar, Iterator
@@ -13,7 +14,7 @@
 LOCK_TIMEOUT = 1.0  # seconds for another process to release the file
 
 
-class SqliteFile:
+class SqliteFile(ABC):
     """A file of the kind that a subclass names. Make all calls in a worker thread.
 
     All methods raise DatabaseError only. Except for `close`, only one thread may use it at a time.
@@ -40,13 +41,13 @@
             self.close()
             raise
 
+    @abstractmethod
     def _create_tables(self) -> None:
         """Fills an empty file."""
-        raise NotImplementedError
 
+    @abstractmethod
     def _load(self) -> None:
         """Reads what the file has, once it is open."""
-        raise NotImplementedError
 
     def _open(self) -> None:
         """Locks the file and checks that it is of this kind or empty, before anything in it is changed."""
