Have a majority of voters grant a publisher's term and record each change set

Why: publishers that are cut off from each other, or stopped for long, could both accept change sets, and an old copy was only refused while somebody who knew more could be asked (docs/control.md, B1 to B3).

Change: relays with `votes` keep one row on their disk; publishers with `voters` name them. A voter grants a term once and only above all it has granted, and records positions for the last one alone. A publisher decides once a majority has granted its term, its database has all that a majority may have recorded, and its first position is recorded; a change set is in force once a majority has recorded it. A voter that lost its file counts again after a round that confirms the term. No clock takes part. Without `voters` and `votes` everything is as before. The voters of `leases/` were weighed: they keep nothing, so they can't say whose database has what was accepted.

Also: a publisher that starts said "in force" of a change set on its disk before it decided; it waits now, and says nothing if it is refused. Files split: change_queue.py and authority.py out of publisher.py. test_control_publisher_drill.py: the faults are a method, so that the drill with voters can add its own. Tests that reach into the queue follow its new place. CONTROL_FRAMES has three new frames, the others are as they were.

--- a/oakfork/control/claim.py
+++ b/oakfork/control/claim.py
@@ -22,7 +22,8 @@
     TimerFired,
 )
 from oakfork.control.messages import Position, Status, StatusRequest, pack
-from oakfork.control.status import ClaimStatus, ReportedStatus, reported_status
+from oakfork.control.quorum import majority, possibly_recorded, surely_recorded
+from oakfork.control.status import ClaimStatus, ReportedStatus, VoterStatus, reported_status
 
 # Durations in milliseconds
 ROUND_TIMEOUT = 2_000  # for the answers to one round of questions
@@ -30,6 +31,7 @@
 MAX_ANSWER_AGE = 2_000  # of the answers that it decides by; a process may be stopped for any time
 # For a publisher that decides, and whose term the operator's word covers, to hear of it: it asks every ten seconds.
 TAKEOVER_TIME = 12_000
+HOLDER_TIMEOUT = 3_000  # since a voter heard the publisher that it granted a term; then that one may be gone
 
 
 class Finding(Enum):
@@ -45,7 +47,8 @@
     """The claim of one publisher that starts, whose database ends at `stored` and has begun `begun_terms` since.
 
     `mark` is a random number of this start, above 0. Deliver a `TimerFired` when `timer` is due, at first at once.
-    `link_numbers` is shared with the other parts of the publisher that open links.
+    `link_numbers` is shared with the other parts of the publisher that open links. `voters` is how many of `others`
+    vote.
     """
 
     def __init__(
@@ -56,8 +59,10 @@
         mark: int,
         begun_terms: Sequence[int] = (),
         link_numbers: Iterator[int] | None = None,
+        voters: int = 0,
     ) -> None:
         self.others = others
+        self.voters = voters
         self.stored = stored
         self.begun_terms = frozenset(begun_terms)
         self.link_numbers = link_numbers or count(-1, -1)
@@ -92,8 +97,8 @@
         return ClaimStatus(self.word, self.mark, self.yields_to)
 
     def refuse(self, position: Position) -> list[Command]:
-        """A position was seen that is later than what this publisher may take over from: nothing more is asked."""
-        self.finding = Finding.SUPERSEDED
+        """A position was seen that this publisher may not take over from: nothing more is asked."""
+        self.finding = self._compare_position(position)
         self.latest = max(self.latest, position)
         self.timer = None
         return self._close_links("not needed")
@@ -155,6 +160,8 @@
         self.yields_to = 0
         self.latest = max((self.latest, *(status.position for status in self.answers)))
         findings = {self.compare(now, status) for status in self.answers}
+        if self.voters:
+            findings.add(self._compare_votes())
         self.finding = next(
             (one for one in (Finding.SUPERSEDED, Finding.OLDER_COPY, Finding.WAIT) if one in findings), Finding.FREE
         )
@@ -175,6 +182,33 @@
             return Finding.WAIT if status.known_term < self.stored.term else Finding.SUPERSEDED
         return Finding.FREE if self.has(status.position) else Finding.OLDER_COPY
 
+    def _compare_votes(self) -> Finding:
+        """What the voters show: a later position that they recorded, or a publisher that they have heard lately."""
+        votes = {status.voter.incarnation: status.voter for status in self.answers if status.voter is not None}
+        recorded = [voter.recorded for voter in votes.values()]
+        surely = surely_recorded(recorded, self.voters)
+        possibly = possibly_recorded(recorded, self.voters)
+        self.granted_term = max((self.granted_term, *(voter.term for voter in votes.values())))
+        if not self.may_follow(surely):
+            self.latest = max(self.latest, surely)
+            return self._compare_position(surely)
+        hearing = sum(self._hears_another(voter) for voter in votes.values())
+        is_open = possibly is None or not self.may_follow(possibly)
+        return Finding.WAIT if is_open or hearing >= majority(self.voters) else Finding.FREE
+
+    def _hears_another(self, voter: VoterStatus) -> bool:
+        """Whether a voter has heard another publisher lately, one that the operator's word does not cover."""
+        is_heard = voter.heard_ms is not None and voter.heard_ms < HOLDER_TIMEOUT
+        return is_heard and voter.mark != self.mark and voter.term > self.word
+
+    def may_follow(self, recorded: Position) -> bool:
+        """Whether this publisher may decide after a position that voters have recorded."""
+        return recorded.term <= self.word or self.has(recorded)
+
+    def _compare_position(self, position: Position) -> Finding:
+        """What a position means that the database does not have."""
+        return Finding.SUPERSEDED if self._is_later(position.term) else Finding.OLDER_COPY
+
     def is_superseded_by(self, term: int) -> bool:
         """Whether a term that somebody has is that of a later publisher, and not covered by the operator's word."""
         return term > self.word and self._is_later(term)
--- a/oakfork/control/config.py
+++ b/oakfork/control/config.py
@@ -74,6 +74,13 @@
             "uniqueItems": True,
             "description": "addresses of all other possible publishers, and of relays; asked before this one decides",
         },
+        "voters": {
+            "type": "array",
+            "items": ADDRESS,
+            "maxItems": 7,
+            "uniqueItems": True,
+            "description": "addresses of relays that vote, the same at all publishers; a majority records change sets",
+        },
         "above_term": _integer(
             0,
             1 << 40,
@@ -102,6 +109,12 @@
             "uniqueItems": True,
             "description": "addresses of the publisher or of other relays, in order of preference",
         },
+        "votes": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 4096,
+            "description": "path of the file in which this relay keeps what it votes; without it, it is no voter",
+        },
     },
     {},
     "upstreams",
@@ -122,6 +135,7 @@
     ids: int
     above_term: int
     others: tuple[str, ...] = ()
+    voters: tuple[str, ...] = ()
 
     @property
     def full_name(self) -> str:
@@ -139,6 +153,7 @@
     upstreams: tuple[str, ...]
     egress: int
     connections: int
+    votes: str | None = None
 
     @property
     def full_name(self) -> str:
@@ -161,6 +176,7 @@
         bounds.get("ids", MAX_IDS),
         document.get("above_term", 0),
         tuple(document.get("others", ())),
+        tuple(document.get("voters", ())),
     )
 
 
@@ -175,6 +191,7 @@
         tuple(document["upstreams"]),
         bounds.get("egress_bytes_per_s", EGRESS),
         bounds.get("connections", MAX_LINKS),
+        document.get("votes"),
     )
 
 
@@ -189,7 +206,7 @@
 def _address_faults(document: dict[str, Any]) -> list[str]:
     """Faults that the schema doesn't express: ports out of range, and a relay that follows itself."""
     addresses = {"listen": document["listen"]}
-    for key in ("upstreams", "others"):
+    for key in ("upstreams", "others", "voters"):
         for number, address in enumerate(document.get(key, ())):
             addresses[f"{key}[{number}]"] = address
     faults = [
--- a/oakfork/control/engine.py
+++ b/oakfork/control/engine.py
@@ -16,6 +16,7 @@
 from oakfork.control.connections import FrameConnection, connect
 from oakfork.control.database import Database
 from oakfork.control.messages import Position, unpack_down, unpack_up
+from oakfork.control.vote_file import VoteFile
 from oakfork.errors import ConnectionFailedError, DatabaseError, log_fields
 
 MAX_QUEUED_EVENTS = 256
@@ -46,7 +47,7 @@
 
     `connections` is the machine's own bound on incoming links, beyond which it says goodbye; those beyond
     SPARE_CONNECTIONS more are closed without a message. `in_force` is called with each InForce and must not wait.
-    `database` stores change sets.
+    `database` stores change sets, `vote_file` what a voter keeps.
     """
 
     def __init__(
@@ -56,12 +57,14 @@
         connections: int = 0,
         in_force: Callable[[events.InForce], None] | None = None,
         database: Database | None = None,
+        vote_file: VoteFile | None = None,
     ) -> None:
         self.machine = machine
         self.log = log
         self.connections = connections
         self.in_force = in_force
         self.database = database
+        self.vote_file = vote_file
         self.links: dict[int, FrameConnection | None] = {}  # None: not established yet
         self.connect_scopes: dict[int, trio.CancelScope] = {}  # of links being established
         self.last_incoming_link = 0
@@ -167,6 +170,8 @@
                 self.nursery.start_soon(self._revert, position)
             case events.BeginTerm():
                 self.nursery.start_soon(self._begin_term, command)
+            case events.StoreVote(state):
+                self.nursery.start_soon(self._store_vote, state)
             case events.CountEvent(reason, about):
                 self.count_event(reason, about)
 
@@ -271,6 +276,15 @@
         else:
             await self.sender.send(events.TermBegun(term))
 
+    async def _store_vote(self, state: events.VoterState) -> None:
+        try:
+            await trio.to_thread.run_sync(self.vote_file.store, state)
+        except DatabaseError as error:
+            self.log.error("a vote could not be stored", **log_fields(error))
+            await self.sender.send(events.VoteFailed(str(error)[:MAX_REASON_LENGTH]))
+        else:
+            await self.sender.send(events.VoteStored())
+
     async def _call_database(self, verb: str, call: Callable[..., None], *arguments: Any) -> str | None:
         """Calls the database in a thread, twice if necessary; returns why it failed, None if it succeeded."""
         for pause in (STORE_RETRY_PAUSE, 0.0):
--- a/oakfork/control/events.py
+++ b/oakfork/control/events.py
@@ -11,7 +11,7 @@
 
 from typing import Mapping, NamedTuple
 
-from oakfork.control.messages import Kind, Message, Position, Row
+from oakfork.control.messages import EMPTY, Kind, Message, Position, Row
 
 Key = tuple[Kind, str]
 Changes = Mapping[Key, bytes | None]  # the new value of each changed record; None: the record is removed
@@ -19,6 +19,16 @@
 AGE_UNKNOWN = (1 << 62) - 1  # as Heartbeat.age: the sender has never heard of the publisher
 
 
+class VoterState(NamedTuple):
+    """What a voter keeps on its disk."""
+
+    incarnation: int  # of its file; higher than those of the files before
+    term: int = 0  # granted last
+    mark: int = 0  # of the publisher to which it was granted
+    recorded: Position = EMPTY
+    has_memory: bool = False  # false until publishers may rely on this voter to remember
+
+
 # Events
 
 
@@ -87,6 +97,16 @@
     reason: str
 
 
+class VoteStored(NamedTuple):
+    """The last `StoreVote` is durable."""
+
+
+class VoteFailed(NamedTuple):
+    """The last `StoreVote` failed."""
+
+    reason: str
+
+
 class ShuttingDown(NamedTuple):
     """The process is about to end: the machine says goodbye and opens no more links."""
 
@@ -103,6 +123,8 @@
     | RevertFailed
     | TermBegun
     | TermFailed
+    | VoteStored
+    | VoteFailed
     | ShuttingDown
 )
 
@@ -174,6 +196,12 @@
     beyond: int
 
 
+class StoreVote(NamedTuple):
+    """Durably replace what the voter keeps. Answered by `VoteStored` or `VoteFailed`. One is outstanding at a time."""
+
+    state: VoterState
+
+
 class CountEvent(NamedTuple):
     """Count an occurrence by its reason (one of a fixed set) and log it with what it concerns."""
 
@@ -191,5 +219,6 @@
     | StoreChangeSet
     | RevertChangeSet
     | BeginTerm
+    | StoreVote
     | CountEvent
 )
--- a/oakfork/control/messages.py
+++ b/oakfork/control/messages.py
@@ -219,8 +219,54 @@
     document: bytes
 
 
-Up = Hello | Ack | RangeRequest | Report | HistoryRequest | Submit | StatusRequest
-Down = Welcome | Delta | Digests | Range | Heartbeat | Goodbye | HistoryReply | SubmitResult | Status
+# Between a publisher and the relays that vote, on connections that the publisher opens to the same port
+
+
+class GrantRequest(Message, tag=48):
+    """A publisher asks a voter to grant it a term: to grant and record nothing of an older one any more.
+
+    `mark` is a random number of the publisher's start. `by_operator`: an operator's word stands in for the memory that
+    the voter of that incarnation has lost, or never had.
+    """
+
+    term: Number
+    mark: Number
+    incarnation: Number  # 0 if it is not known yet
+    round: Number
+    by_operator: bool
+
+
+class RecordRequest(Message, tag=49):
+    """A publisher has a position recorded by a voter of that incarnation, which has granted the term.
+
+    `round` comes back in the report. `readmits`: the voter's memory was lost, and a majority of the others has
+    confirmed the term since; it may count again from this position on.
+    """
+
+    term: Number
+    mark: Number
+    incarnation: Number
+    position: Position
+    round: Number
+    readmits: bool
+
+
+class VoterReport(Message, tag=50):
+    """What a voter has on its disk once a request is handled; the answer to both requests.
+
+    `round` is that of the request, if the term of that is granted to the one who asked; 0 otherwise.
+    """
+
+    incarnation: Number  # grows with each new file
+    has_memory: bool  # false: its file is new, so the voter may have forgotten what it granted and recorded
+    term: Number  # that it granted last
+    mark: Number  # of the publisher that it granted it to
+    recorded: Position
+    round: Number
+
+
+Up = Hello | Ack | RangeRequest | Report | HistoryRequest | Submit | StatusRequest | GrantRequest | RecordRequest
+Down = Welcome | Delta | Digests | Range | Heartbeat | Goodbye | HistoryReply | SubmitResult | Status | VoterReport
 
 _encoder = msgspec.msgpack.Encoder()
 _up_decoder = msgspec.msgpack.Decoder(Up)
--- a/oakfork/control/processes.py
+++ b/oakfork/control/processes.py
@@ -22,6 +22,8 @@
 from oakfork.control.relay import Relay
 from oakfork.control.state import Records
 from oakfork.control.state_index import StateIndex
+from oakfork.control.vote_file import VoteFile
+from oakfork.control.voter import Voter
 
 MAX_NAMED_RELAYS = 64  # in a status
 MAX_MARK = 1 << 53  # of a publisher's start; JSON carries no larger integers safely
@@ -74,7 +76,8 @@
     claims = mark is not None
     claim = None
     if claims:
-        claim = Claim(config.others, loaded.position, config.above_term, mark, database.begun_terms)
+        asked = tuple(dict.fromkeys((*config.others, *config.voters)))
+        claim = Claim(asked, loaded.position, config.above_term, mark, database.begun_terms, voters=len(config.voters))
     machine = _Publisher(
         config.full_name,
         None if claims else database.begin_term(config.above_term),
@@ -89,13 +92,14 @@
         max_links=config.connections,
         others=config.others,
         claim=claim,
+        voters=config.voters,
     )
     machine.engine = Engine(machine, log, config.connections, database=database)
     return machine.engine
 
 
-def relay_engine(config: RelayConfig, log: BoundLogger) -> Engine:
-    """A relay that starts with an empty state."""
+def relay_engine(config: RelayConfig, log: BoundLogger, vote_file: VoteFile | None = None) -> Engine:
+    """A relay that starts with an empty state; with a file for its votes it is a voter."""
     machine = _Relay(
         config.full_name,
         config.upstreams,
@@ -103,8 +107,9 @@
         seed=zlib.crc32(config.full_name.encode()),
         egress=config.egress,
         max_links=config.connections,
+        voter=Voter(vote_file.state) if vote_file is not None else None,
     )
-    machine.engine = Engine(machine, log, config.connections)
+    machine.engine = Engine(machine, log, config.connections, vote_file=vote_file)
     return machine.engine
 
 
@@ -121,8 +126,16 @@
 
 
 async def relay(config: RelayConfig, log: BoundLogger) -> None:
-    """Runs a relay until SIGTERM or SIGINT. Raises AddressInUseError."""
-    await serve(relay_engine(config, log), listen(config.listen), log)
+    """Runs a relay until SIGTERM or SIGINT. Raises AddressInUseError, and DatabaseError for the file of its votes."""
+    listener = listen(config.listen)
+    if config.votes is None:
+        await serve(relay_engine(config, log), listener, log)
+        return
+    vote_file = await trio.to_thread.run_sync(VoteFile, config.votes)
+    try:
+        await serve(relay_engine(config, log, vote_file), listener, log)
+    finally:
+        vote_file.close()
 
 
 async def follow(
--- a/oakfork/control/publisher.py
+++ b/oakfork/control/publisher.py
@@ -3,19 +3,17 @@
 A change set is durable (`StoreChangeSet`, `Stored`) before it is in force, acknowledged or sent to followers. One is
 handled at a time, so each is checked against the state that includes all before it. A repeated id gets the same answer
 and has no second effect. One that starts accepts and serves nothing until its claim is settled (claim.py); it begins a
-term then. Between two publishers the higher term decides: one that learns of a higher term refuses all change sets from
-then on, and sends its followers elsewhere.
+term then (authority.py). Where there are voters, a majority of them records each change set before it is in force.
+Between two publishers the higher term decides: one that learns of a higher term refuses all change sets from then on,
+and sends its followers elsewhere.
 """
 
-import itertools
-from array import array
-from collections import deque
-from dataclasses import dataclass, field
-from typing import Callable, Iterable, Mapping, NamedTuple, Sequence
+from typing import Callable, Iterable, Mapping, Sequence
 
-from oakfork.control.claim import Claim, Finding
+from oakfork.control.authority import Authority
+from oakfork.control.change_queue import ChangeQueue, StoringChangeSet, Submitted
+from oakfork.control.claim import Claim
 from oakfork.control.events import (
-    BeginTerm,
     Changes,
     Command,
     Connected,
@@ -50,36 +48,16 @@
     SubmitResult,
     pack,
 )
-from oakfork.control.other_publishers import OtherPublishers
 from oakfork.control.state import Store, as_changes, total_digest, updated_sums
 from oakfork.control.status import status
 from oakfork.errors import DatabaseError
 
-MAX_QUEUED_SETS = 64  # waiting change sets; further ones are refused
-MAX_WAITING_LINKS = 16  # links that wait for the result of one change set
-MAX_ANSWERED_IDS = 65_536  # ids whose position is remembered; the oldest are dropped
-TERMS_PER_START = 1 << 20  # terms that two copies of a database may begin next, at random
-TERM_RETRY_INTERVAL = 1_000  # milliseconds before a term is begun again after the disk has failed
+NO_MAJORITY = "no majority: too few voters answer; submit it again later"
 
 Parse = Callable[[bytes], tuple[Sequence[Row], Sequence[str]]]  # returns rows, or faults by their paths
 Contradictions = Callable[[Store, Sequence[Row]], Sequence[str]]
 
 
-@dataclass(slots=True)
-class _Submitted:
-    id: str
-    change: bytes
-    links: list[int] = field(default_factory=list)  # waiting for the result, MAX_WAITING_LINKS at most
-
-
-class _Storing(NamedTuple):
-    """A change set that is being written to the disk."""
-
-    position: Position
-    changes: Changes
-    sums: array
-
-
 class Publisher:
     """A publisher of `term`, which is durable already and above the term of `stored`; or of none yet, with a `claim`.
 
@@ -104,6 +82,7 @@
         max_links: int = MAX_LINKS,
         others: Sequence[str] = (),
         claim: Claim | None = None,
+        voters: Sequence[str] = (),
     ) -> None:
         if term is not None and term <= stored.term:
             raise DatabaseError(f"term {term} is not above the stored term {stored.term}")
@@ -113,21 +92,17 @@
         self.on_change = on_change
         history = stored_history(entries, stored, total_digest(store.sums))
         self.follower_server = FollowerServer(name, store, stored, lambda now: 0, history, egress, max_links=max_links)
-        self.claim = claim  # None once it is settled
-        self.begun_term: int | None = term  # None until one is begun
-        self.term_requested = False
+        self.authority = Authority(others, term, claim, voters)
         if term is not None:
             self.follower_server.in_force(0, InForce(stored, Position(term, stored.number), {}))
         else:
             self.follower_server.outdated = True
             self.follower_server.refusal = "claiming"
-        self.answered: dict[str, Position] = dict(ids or {})
-        self.queue: deque[_Submitted] = deque()  # the first one is being handled
-        self.storing: _Storing | None = None
-        # The id of a change set that was stored and could not be reverted; it is never answered.
+        self.queue = ChangeQueue(ids or {})
+        self.storing: StoringChangeSet | None = None
+        # The id of a change set that was stored and may be in force later; it is never answered.
         self.undecided_id: str | None = None
-        self.link_numbers = claim.link_numbers if claim else itertools.count(-1, -1)
-        self.others = OtherPublishers(others, self.link_numbers)
+        self.recording = False  # the change set that is on the disk is being recorded by the voters
         self.timer: int | None = None
         self.step_scheduled = False
 
@@ -153,12 +128,16 @@
         if isinstance(event, TimerFired):
             self.timer = None  # set again below if it fired too early
         self._dispatch(now, event, commands)
-        if self.claim is not None:
-            self._check_claim(now, self.claim, commands)
+        if self.authority.claim is not None:
+            self._check_claim(now, self.authority.claim, commands)
+        if self.recording and self.authority.is_recorded(self.storing.position):
+            self._accept(now, commands)
         self._check_term(now, commands)
-        if self.claim is None and self.queue and self.storing is None:
+        if self.recording and not self.authority.has_majority(now):
+            self._refuse_others(commands)
+        if self.authority.decides and self.queue and self.storing is None:
             if isinstance(event, Step):
-                self._process_next(commands)
+                self._process_next(now, commands)
             if self.queue and self.storing is None:
                 self._schedule_step(commands)
         self._set_timer(commands)
@@ -179,30 +158,19 @@
                     self._answer(None, (f"not stored: {reason}",), commands)
             case Reverted(number) | RevertFailed(number):
                 self._reverted(now, number, event, commands)
-            case TermBegun(term):
-                self.begun_term = term
-            case TermFailed(reason):
-                self.term_requested = False
-                commands.append(CountEvent("not stored", reason))
-                if self.claim is not None:
-                    self.claim.ask_again(now + TERM_RETRY_INTERVAL)
+            case TermBegun() | TermFailed():
+                self._add(self.authority.handle(now, event), commands)
             case Connected(link) | Disconnected(link) | FrameReceived(link) if link < 0:
-                self._add(self._asking.handle(now, event), commands)
+                self._add(self.authority.handle(now, event), commands)
             case _:
                 self._add(self.follower_server.handle(now, event), commands)
                 if isinstance(event, TimerFired):
-                    self._add(self._asking.handle(now, event), commands)
+                    self._add(self.authority.handle(now, event), commands)
                 if isinstance(event, Disconnected):
-                    for submitted in self.queue:
-                        submitted.links = [link for link in submitted.links if link != event.link]
-
-    @property
-    def _asking(self) -> Claim | OtherPublishers:
-        """What asks other processes: the claim while there is one."""
-        return self.claim if self.claim is not None else self.others
+                    self.queue.forget_link(event.link)
 
     def _set_timer(self, commands: list[Command]) -> None:
-        timers = (self.follower_server.timer, self._asking.timer)
+        timers = (self.follower_server.timer, self.authority.timer)
         timer = min((at for at in timers if at is not None), default=None)
         if timer is not None and timer != self.timer:
             commands.append(SetTimer(timer))
@@ -210,14 +178,17 @@
 
     def status(self, now: int) -> bytes:
         """The status for operators, as JSON (docs/control.md)."""
-        claim = self.claim
+        authority = self.authority
+        is_claiming = authority.claim is not None and not authority.is_refused
+        may_accept = authority.decides and not self.follower_server.outdated
         return status(
             now,
             self.follower_server,
             queued=len(self.queue),
-            deciding=claim is None and not self.follower_server.outdated,
-            claim=claim.status() if claim is not None and not claim.is_refused else None,
-            later_copy=claim.latest if claim is not None and claim.finding is Finding.OLDER_COPY else None,
+            deciding=may_accept and authority.has_majority(now),
+            claim=authority.claim.status() if is_claiming else None,
+            later_copy=authority.later_copy,
+            grant=authority.grant_status(now),
         )
 
     # The claim of a publisher that starts
@@ -227,29 +198,24 @@
         seen_term = self.follower_server.higher_term  # of a follower that came meanwhile
         if claim.is_superseded_by(seen_term):
             commands += claim.refuse(Position(seen_term))
+        self._add(self.authority.advance(now), commands)
         if claim.is_refused:
-            self._refuse_claim(claim, commands)
-        elif claim.finding is Finding.FREE:
-            if not claim.is_settled(now):
-                claim.ask_again(now)
-            elif self.begun_term is not None:
-                self._decide(now, self.begun_term, commands)
-            elif not self.term_requested:
-                self.term_requested = True
-                commands.append(BeginTerm(claim.known_term, 1 + claim.mark % TERMS_PER_START))
-
-    def _refuse_claim(self, claim: Claim, commands: list[Command]) -> None:
+            self._refuse_claim(now, claim, commands)
+        elif self.authority.is_settled(now):
+            self._decide(now, self.authority.term, commands)
+
+    def _refuse_claim(self, now: int, claim: Claim, commands: list[Command]) -> None:
         server = self.follower_server
         if server.refusal == "claiming":  # not said yet
             server.refusal = "older term"
             server.higher_term = max(server.higher_term, claim.latest.term)
             commands.append(CountEvent("older term", self._outdated_faults()[0]))
-        self._refuse_queue(commands)
+        self._refuse_queue(now, commands)
 
     def _decide(self, now: int, term: int, commands: list[Command]) -> None:
         """From now on this publisher decides."""
         server = self.follower_server
-        self.claim = None
+        self.authority.end_claim()
         server.outdated = False
         server.refusal = "older term"
         server.higher_term = 0
@@ -259,31 +225,31 @@
 
     def _check_term(self, now: int, commands: list[Command]) -> None:
         """Once a higher term is known, from a follower or another publisher, refuses all change sets."""
-        higher = max(self.follower_server.higher_term, self.others.highest_term)
+        higher = max(self.follower_server.higher_term, self.authority.highest_term)
         if higher > self.term and not self.follower_server.outdated:
             self.follower_server.higher_term = higher
             commands.append(CountEvent("older term", f"term {self.term}, there is a publisher of term {higher}"))
-            self._add(self.follower_server.outdate(now), commands)
+            self._add(self.follower_server.outdate(now) + self.authority.give_up(), commands)
+        if self.recording and self.follower_server.outdated:
+            # Some voters may have recorded it, so it may come into force: it is neither accepted nor refused.
+            self._abandon(now, "not known", "outdated while it was recorded", commands)
         if self.refuses_changes:
-            self._refuse_queue(commands)
+            self._refuse_queue(now, commands)
 
     @property
     def refuses_changes(self) -> bool:
         """Whether it is known that another publisher decides, or that this one must not."""
-        return self.follower_server.outdated and (self.claim is None or self.claim.is_refused)
+        return self.follower_server.outdated and (self.authority.decides or self.authority.is_refused)
 
-    def _refuse_queue(self, commands: list[Command]) -> None:
+    def _refuse_queue(self, now: int, commands: list[Command]) -> None:
         while self.queue and self.storing is None:
-            self._answer(None, self._outdated_faults(), commands)
+            if self.queue.position_of(self.queue.first.id) is None:
+                self._answer(None, self._outdated_faults(), commands)
+            else:  # the database has it, so it may be in force
+                self._close_waiting(now, "not known", commands)
 
     def _outdated_faults(self) -> tuple[str, ...]:
-        if self.claim is not None and self.claim.finding is Finding.OLDER_COPY:
-            own, later = self.position, self.claim.latest
-            return (
-                f"older copy: the database ends at {own.term}.{own.number}, {later.term}.{later.number} was in force",
-            )
-        higher = self.follower_server.higher_term
-        return (f"older term: this publisher has term {self.term}, there is one of term {higher}",)
+        return (self.authority.fault(self.position, self.follower_server.higher_term),)
 
     def _add(self, new_commands: list[Command], commands: list[Command]) -> None:
         """Adds the commands of a component, with one ScheduleStep for all of them; `_set_timer` combines the timers."""
@@ -309,34 +275,37 @@
         elif request.id == self.undecided_id:
             self._add(self.follower_server.close_link(now, link, "not taken back"), commands)
         else:
-            result = self._submit(link, request)
-            if result is not None:
-                commands.append(SendFrame(link, pack(result)))
-
-    def _submit(self, link: int, request: Submit) -> SubmitResult | None:
-        """The result if it is known at once; otherwise the change set is queued, with the link waiting for it."""
-        position = self.answered.get(request.id)
-        if position is not None:
-            return SubmitResult(request.id, position, ())
-        if self.refuses_changes:
-            return SubmitResult(request.id, None, self._outdated_faults())
-        submitted = next((queued for queued in self.queue if queued.id == request.id), None)
-        if submitted is None:
-            full = len(self.queue) >= MAX_QUEUED_SETS
+            self._submit(now, link, request, commands)
+
+    def _submit(self, now: int, link: int, request: Submit, commands: list[Command]) -> None:
+        """Answers at once if the result is known; otherwise queues the change set, with the link waiting for it.
+
+        What the database has may not be in force while this publisher does not decide.
+        """
+        position = self.queue.position_of(request.id)
+        result = None
+        if position is not None and self.authority.decides:
+            result = SubmitResult(request.id, position, ())
+        elif position is not None and self.refuses_changes:
+            self._add(self.follower_server.close_link(now, link, "not known"), commands)
+        elif self.refuses_changes:
+            result = SubmitResult(request.id, None, self._outdated_faults())
         else:
-            full = len(submitted.links) >= MAX_WAITING_LINKS
-        if full:
-            return SubmitResult(request.id, None, ("too many change sets are waiting: submit it again later",))
-        if submitted is None:
-            submitted = _Submitted(request.id, request.change)
-            self.queue.append(submitted)
-        if link not in submitted.links:
-            submitted.links.append(link)
-        return None
-
-    def _process_next(self, commands: list[Command]) -> None:
+            result = self.queue.add(link, request)
+        if result is not None:
+            commands.append(SendFrame(link, pack(result)))
+
+    def _process_next(self, now: int, commands: list[Command]) -> None:
         """Checks the first change set in the queue, and refuses it or has it stored."""
-        submitted = self.queue[0]
+        submitted = self.queue.first
+        position = self.queue.position_of(submitted.id)
+        if position is not None:
+            self._answer(position, (), commands)
+            return
+        if not self.authority.has_majority(now):
+            commands.append(CountEvent("no majority", submitted.id))
+            self._answer(None, (NO_MAJORITY,), commands)
+            return
         rows, faults = self.parse(submitted.change)
         faults = faults or self.contradictions(self.store, rows)
         if faults:
@@ -346,14 +315,14 @@
         changes = {key: value for key, value in as_changes(rows).items() if self.store.value(*key) != value}
         sums = updated_sums(self.store, changes)
         position = Position(self.term, self.position.number + 1)
-        self.storing = _Storing(position, changes, sums)
+        self.storing = StoringChangeSet(position, changes, sums)
         commands.append(StoreChangeSet(position, submitted.id, tuple(rows), total_digest(sums)))
 
     def _is_storing(self, number: int) -> bool:
         return self.storing is not None and self.storing.position.number == number
 
     def _stored(self, now: int, number: int, commands: list[Command]) -> None:
-        """The change set is durable: puts it in force, sends it to followers and acknowledges it."""
+        """The change set is durable: has it recorded, if there are voters, and accepts it."""
         if not self._is_storing(number):
             return
         if self.follower_server.outdated:
@@ -361,16 +330,22 @@
             # after a restart, so it is reverted before the answer.
             commands.append(RevertChangeSet(self.storing.position))
             return
+        self.recording = True
+        commands += self.authority.record(now, self.storing.position)
+        if self.authority.is_recorded(self.storing.position):
+            self._accept(now, commands)
+
+    def _accept(self, now: int, commands: list[Command]) -> None:
+        """Puts the change set that was stored in force, sends it to followers and acknowledges it."""
         position, changes, sums = self.storing
         self.storing = None
+        self.recording = False
         before = self.position
         self.store.commit(changes, sums)
         self.store.compact()
         if self.on_change is not None:
             self.on_change(changes)
-        self.answered[self.queue[0].id] = position
-        if len(self.answered) > MAX_ANSWERED_IDS:
-            del self.answered[next(iter(self.answered))]
+        self.queue.accept(position)
         in_force = InForce(before, position, changes)
         commands.append(in_force)
         self._add(self.follower_server.in_force(now, in_force), commands)
@@ -381,18 +356,37 @@
         closed without a result."""
         if not self._is_storing(number):
             return
-        self.storing = None
         if isinstance(event, RevertFailed):
-            commands.append(CountEvent("not taken back", event.reason))
-            submitted = self.queue.popleft()
-            self.undecided_id = submitted.id
-            for link in submitted.links:
-                self._add(self.follower_server.close_link(now, link, "not taken back"), commands)
+            self._abandon(now, "not taken back", event.reason, commands)
         else:
+            self.storing = None
             self._answer(None, self._outdated_faults(), commands)
 
+    def _abandon(self, now: int, reason: str, about: str, commands: list[Command]) -> None:
+        """Closes the links that wait for the change set without a result, since its fate is unknown."""
+        self.storing = None
+        self.recording = False
+        self.undecided_id = self.queue.first.id
+        commands.append(CountEvent(reason, about))
+        self._close_waiting(now, reason, commands)
+
+    def _close_waiting(self, now: int, reason: str, commands: list[Command]) -> None:
+        """Closes the links that wait for the first change set in the queue."""
+        for link in self.queue.remove_first().links:
+            self._add(self.follower_server.close_link(now, link, reason), commands)
+
     def _answer(self, position: Position | None, faults: tuple[str, ...], commands: list[Command]) -> None:
         """Sends the result of the first change set in the queue to the links that wait for it."""
-        submitted = self.queue.popleft()
+        self._answer_removed(self.queue.remove_first(), position, faults, commands)
+
+    def _answer_removed(
+        self, submitted: Submitted, position: Position | None, faults: tuple[str, ...], commands: list[Command]
+    ) -> None:
         frame = pack(SubmitResult(submitted.id, position, faults))
         commands += [SendFrame(link, frame) for link in submitted.links if link in self.follower_server.sessions]
+
+    def _refuse_others(self, commands: list[Command]) -> None:
+        """Refuses what waits behind a change set that the voters do not record: it may take any time."""
+        for submitted in self.queue.remove_others():
+            commands.append(CountEvent("no majority", submitted.id))
+            self._answer_removed(submitted, None, (NO_MAJORITY,), commands)
--- a/oakfork/control/relay.py
+++ b/oakfork/control/relay.py
@@ -18,15 +18,19 @@
     ShuttingDown,
     Step,
     TimerFired,
+    VoteFailed,
+    VoteStored,
 )
 from oakfork.control.follower import Follower
 from oakfork.control.follower_server import EGRESS, MAX_LINKS, FollowerServer
 from oakfork.control.messages import (
     EMPTY,
+    GrantRequest,
     Heartbeat,
     HistoryReply,
     HistoryRequest,
     Position,
+    RecordRequest,
     Report,
     Status,
     StatusRequest,
@@ -34,14 +38,15 @@
 )
 from oakfork.control.state import Store
 from oakfork.control.status import status
+from oakfork.control.voter import Voter
 
 REPORT_INTERVAL = 1_000  # milliseconds between reports
 
 
 class Relay:
-    """A Follower and a FollowerServer on one store; the parameters are those of these two.
+    """A Follower and a FollowerServer on one store; the parameters are those of these two. Some relays vote, too.
 
-    Its state is in memory only, so it starts with an empty one.
+    Its state is in memory only, so it starts with an empty one; what it votes is on its disk.
     """
 
     def __init__(
@@ -52,8 +57,10 @@
         seed: int = 1,
         egress: int = EGRESS,
         max_links: int = MAX_LINKS,
+        voter: Voter | None = None,
     ) -> None:
         self.store = store
+        self.voter = voter
         self.follower = Follower(name, relays, store, seed=seed, relay=True)
         self.follower_server = FollowerServer(
             name,
@@ -94,6 +101,10 @@
             if event.link not in self.follower_server.sessions:
                 return []
             return [SendFrame(event.link, pack(Status(self.status(now))))]
+        if self.voter is not None and isinstance(event, VoteStored | VoteFailed):
+            return self.voter.handle(now, event)
+        if self.voter is not None and _is_vote_request(event):
+            return self._vote_requested(now, event.link, event.message)
         self._dispatch(now, event, commands)
         self._check_term(now, commands)
         if not isinstance(event, ShuttingDown):
@@ -102,6 +113,12 @@
         self._set_timer(commands)
         return commands
 
+    def _vote_requested(self, now: int, link: int, request: GrantRequest | RecordRequest) -> list[Command]:
+        if link not in self.follower_server.sessions:
+            return []
+        self.follower_server.restart_timeout(now, link)
+        return self.voter.request(now, link, request)
+
     def _dispatch(self, now: int, event: Event, commands: list[Command]) -> None:
         for_both = isinstance(event, TimerFired | Step | ShuttingDown)
         message = event.message if isinstance(event, FrameReceived) and event.link < 0 else None
@@ -131,7 +148,10 @@
     def status(self, now: int) -> bytes:
         """The status for operators, as JSON (docs/control.md)."""
         follower = self.follower
-        return status(now, self.follower_server, phase=follower.phase.value, follows=follower.selection.current)
+        additions = {} if self.voter is None else {"voter": self.voter.status(now)}
+        return status(
+            now, self.follower_server, phase=follower.phase.value, follows=follower.selection.current, **additions
+        )
 
     def _add(self, now: int, new_commands: list[Command], commands: list[Command]) -> None:
         """Adds the commands of a component, with one ScheduleStep for both; `_set_timer` combines the timers.
@@ -201,6 +221,11 @@
             self.report_due = max(self.next_report_at, now + 1)
 
 
+def _is_vote_request(event: Event) -> bool:
+    is_incoming = isinstance(event, FrameReceived) and event.link > 0
+    return is_incoming and isinstance(event.message, GrantRequest | RecordRequest)
+
+
 def _summary(report: Report) -> tuple:
     """What a report says apart from names that connected or disconnected, and from times."""
     lagging = tuple((follower.name, follower.position) for follower in report.behind)
--- a/oakfork/control/status.py
+++ b/oakfork/control/status.py
@@ -53,6 +53,26 @@
     yields_to: int  # the mark of another one that goes first; 0: none
 
 
+class VoterStatus(msgspec.Struct, frozen=True):
+    """The part of a status that only a relay has which votes."""
+
+    incarnation: int  # of its file
+    has_memory: bool  # false: its file is new, and no publisher has had it vote since
+    term: int  # that it granted last
+    mark: int  # of the publisher to which it granted it
+    recorded: Position
+    heard_ms: int | None  # since the last request of the publisher of that term; None: none since this relay started
+
+
+class GrantStatus(msgspec.Struct, frozen=True):
+    """The part of a status that only a publisher has whose file names voters."""
+
+    voters: int
+    answering: int  # that grant its term and have answered within the last seconds
+    without_memory: int  # whose file is new, and which don't count yet
+    later_term: int  # that one of them has granted; 0: none
+
+
 class ReportedStatus(msgspec.Struct, frozen=True):
     """What publishers need of the status of another process; releases before this one have the first three keys."""
 
@@ -61,6 +81,7 @@
     phase: str | None = None  # of a relay
     deciding: bool | None = None  # of a publisher
     claim: ClaimStatus | None = None  # of a publisher that starts
+    voter: VoterStatus | None = None  # of a relay that votes
 
     @property
     def known_term(self) -> int:
--- a/oakfork/control/status_text.py
+++ b/oakfork/control/status_text.py
@@ -39,6 +39,11 @@
         lines.append(f"follows {status['follows']}: {status['phase']}, {_age_text(status['age_ms'])}")
     if status.get("claim"):
         lines.append("starts: takes no change sets until it knows that no other publisher decides")
+    if (grant := status.get("grant")) is not None:
+        lines.append(f"{grant['answering']} of {grant['voters']} voters grant its term" + _voter_faults(grant))
+    if (voter := status.get("voter")) is not None:
+        memory = "" if voter["has_memory"] else "; WITHOUT MEMORY, does not count yet"
+        lines.append(f"votes: term {voter['term']}, recorded {position_text(voter['recorded'])}{memory}")
     if status.get("later_copy"):
         lines.append(
             f"OLDER COPY: {position_text(status['later_copy'])} was in force, which its database does not have; "
@@ -58,6 +63,11 @@
     return lines
 
 
+def _voter_faults(grant: Mapping[str, Any]) -> str:
+    faults = f", {grant['without_memory']} without memory" if grant["without_memory"] else ""
+    return faults + (f"; term {grant['later_term']} is granted to another publisher" if grant["later_term"] else "")
+
+
 def _age_text(age_ms: int | None) -> str:
     if age_ms is None:
         return "never heard of a publisher"
--- a/tests/control_verifier.py
+++ b/tests/control_verifier.py
@@ -5,8 +5,9 @@
 """
 
 from oakfork.control import encoded_frames, state_sender
+from oakfork.control.change_queue import MAX_QUEUED_SETS
 from oakfork.control.messages import Position, Row
-from oakfork.control.publisher import MAX_QUEUED_SETS, Publisher
+from oakfork.control.publisher import Publisher
 from oakfork.control.state import Records, as_changes, total_digest, updated_sums
 
 
--- a/tests/publisher_fleet.py
+++ b/tests/publisher_fleet.py
@@ -14,23 +14,28 @@
 ANSWER_TIME = 2.0  # seconds to wait for an answer to a change set
 
 
+VOTERS = ("voter-1", "voter-2", "voter-3")
+
+
 class PublisherFleet:
-    """Publishers, each with a file and a database of its own name, and a relay that follows them."""
+    """Publishers, each with a file and a database of its own name, a relay that follows them, and relays that vote."""
 
     def __init__(self, folder):
         self.processes = trial.Processes(folder)
         self.folder = folder
-        self.addresses = {name: free_port() for name in ("one", "two", "relay")}
+        self.addresses = {name: free_port() for name in ("one", "two", "relay", *VOTERS)}
 
-    def start(self, name, others, **keys):
-        """Starts a publisher, whose file names the others and has further keys."""
+    def start(self, name, others, voters=(), **keys):
+        """Starts a publisher, whose file names the others and the voters and has further keys."""
         addresses = [self.addresses[other] for other in others]
+        voter_addresses = [self.addresses[voter] for voter in voters]
         lines = [
             f'name = "{name}"',
             'region = "here"',
             f'listen = "{self.addresses[name]}"',
             f"database = {json.dumps(str(self.folder / name))}",
             f"others = {json.dumps(addresses)}",
+            f"voters = {json.dumps(voter_addresses)}",
             *(f"{key} = {value}" for key, value in keys.items()),
         ]
         path = self.folder / f"{name}.toml"
@@ -38,14 +43,26 @@
         self.processes.start(name, "publisher", str(path))
         self.processes.address_of(name)
 
-    def start_relay(self):
-        """Starts the relay, which follows either publisher."""
-        path = self.folder / "relay.toml"
+    def start_relay(self, name="relay"):
+        """Starts a relay, which follows either publisher; one of VOTERS votes, too."""
+        path = self.folder / f"{name}.toml"
         upstreams = [self.addresses["one"], self.addresses["two"]]
-        text = trial.CONFIG.format("relay").replace("127.0.0.1:0", self.addresses["relay"])
-        path.write_text(text + f"upstreams = {json.dumps(upstreams)}\n")
-        self.processes.start("relay", "relay", str(path))
-        self.processes.address_of("relay")
+        text = trial.CONFIG.format(name).replace("127.0.0.1:0", self.addresses[name])
+        text += f"upstreams = {json.dumps(upstreams)}\n"
+        if name in VOTERS:
+            text += f"votes = {json.dumps(str(self.votes_of(name)))}\n"
+        path.write_text(text)
+        self.processes.start(name, "relay", str(path))
+        self.processes.address_of(name)
+
+    def votes_of(self, name):
+        """The file of a voter."""
+        return self.folder / f"{name}.votes"
+
+    def lose_votes(self, name):
+        """Removes the file of a voter that is down."""
+        for path in self.folder.glob(f"{name}.votes*"):
+            path.unlink()
 
     def copy(self, name, to):
         """Copies the files of a publisher's database while it is down."""
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -9,6 +9,7 @@
 from control_peer import ScriptedPeer, follow
 from control_verifier import filled
 
+from oakfork.control.change_queue import MAX_QUEUED_SETS, MAX_WAITING_LINKS
 from oakfork.control.events import Connected, Disconnected, Reverted, RevertFailed, Stored, StoreFailed, TimerFired
 from oakfork.control.follower_server import HELLO_TIMEOUT
 from oakfork.control.messages import (
@@ -24,7 +25,7 @@
     SubmitResult,
 )
 from oakfork.control.other_publishers import POLL_INTERVAL, OtherPublishers
-from oakfork.control.publisher import MAX_QUEUED_SETS, MAX_WAITING_LINKS, Publisher
+from oakfork.control.publisher import Publisher
 from oakfork.control.state import Records, total_digest
 from oakfork.errors import DatabaseError
 
@@ -100,10 +101,10 @@
     assert len(queue) == MAX_QUEUED_SETS and peer.new(1)[0].faults[0].startswith("too many")
     for link in range(2, MAX_WAITING_LINKS + 3):
         submit(peer, link, "set-0", put("a", b"0"))
-    assert len(queue[0].links) == MAX_WAITING_LINKS
+    assert len(queue.first.links) == MAX_WAITING_LINKS
     assert peer.last(MAX_WAITING_LINKS + 2).faults[0].startswith("too many")
     peer.deliver(Disconnected(1))
-    assert 1 not in queue[0].links
+    assert 1 not in queue.first.links
     for number in range(MAX_QUEUED_SETS):
         peer.deliver(Stored(number + 1))
     assert not queue and peer.machine.position == Position(1, MAX_QUEUED_SETS)
--- a/tests/test_control_publisher_drill.py
+++ b/tests/test_control_publisher_drill.py
@@ -23,6 +23,8 @@
 class PublisherDrill:
     """One drill: draws faults from its seed, publishes after each, and checks what is acknowledged."""
 
+    steps = STEPS
+
     def __init__(self, folder, seed):
         self.fleet = PublisherFleet(folder)
         self.folder = folder
@@ -39,26 +41,35 @@
         self.start("one")
         self.fleet.start_relay()
         self.acknowledge("one", self.fleet.publish_when_it_decides("one", "first"), "first")
-        for step in range(STEPS):
+        for step in range(self.steps):
             self.play()
             self.publish(f"step-{step}")
         for name in list(self.up):
             self.kill(name)
-        self.start(self.last)
-        self.acknowledge(self.last, self.fleet.publish_when_it_decides(self.last, "last"), "last")
-        self.kill(self.last)
+        name = self.finish()
+        self.acknowledge(name, self.fleet.publish_when_it_decides(name, "last"), "last")
+        self.kill(name)
         self.check_disk()
 
     def play(self):
         """One fault, drawn from those that are possible now."""
+        fault = self.rng.choice(self.possible_faults())
+        self.played.append(fault.__name__)
+        fault()
+
+    def finish(self):
+        """Starts the publisher that decides in the end; its name."""
+        self.start(self.last)
+        return self.last
+
+    def possible_faults(self):
+        """The faults that are possible now; one that is drawn more often stands there more often."""
         down = [name for name in NAMES if name not in self.up]
         faults = [self.stop_and_continue] if self.up else []
         faults += [self.kill_one] if self.up else []
         faults += [self.start_one] * 2 if down else []
         faults += [self.start_both, self.take_over] if len(down) == 2 else []
-        fault = self.rng.choice(faults)
-        self.played.append(fault.__name__)
-        fault()
+        return faults
 
     def start(self, name):
         """Starts a publisher on its own disk."""
--- a/tests/test_control_verifier.py
+++ b/tests/test_control_verifier.py
@@ -58,9 +58,9 @@
 class AcknowledgesEarly(Publisher):
     """Acknowledges a change set before it is durable."""
 
-    def _process_next(self, commands):
-        submitted = self.queue[0]
-        super()._process_next(commands)
+    def _process_next(self, now, commands):
+        submitted = self.queue.first
+        super()._process_next(now, commands)
         if self.storing is not None:
             frame = pack(SubmitResult(submitted.id, self.storing.position, ()))
             commands += [SendFrame(link, frame) for link in submitted.links]
