--- a/oakfork/contracts/contracts_file.py
+++ b/oakfork/contracts/contracts_file.py
@@ -4,19 +4,17 @@
 named by its path in the file, or by the instant and the contracts.
 """
 
-from dataclasses import dataclass
-from datetime import UTC, datetime, time, timedelta
-from itertools import combinations
+from datetime import UTC, datetime, time
 from pathlib import Path
-from typing import Any, Iterator, Sequence
+from typing import Any, Sequence
 
 from oakfork.configuration_schema import against, read_toml
+from oakfork.contracts.overbooking import fault_at, first_overbooked
+from oakfork.contracts.reservations import Contract, ContractsFile, Window
 from oakfork.errors import ContractsFileError
 
 LARGEST_FILE = 1024 * 1024  # bytes
 MAX_SITES = 10  # the check goes through all sets of sites: 1023 of them
-MAX_INSTANTS = 100_000  # that the check goes through
-RATE_TOLERANCE = 1e-9  # legs a second, for the rounding of sums
 
 
 def _value(kind: str, description: str, **more: Any) -> dict[str, Any]:
@@ -107,59 +105,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Window:
-    """When a contract holds, in UTC."""
-
-    begins: datetime
-    ends: datetime  # the first instant after it
-    daily: tuple[time, time] | None  # from, until; past midnight if the second is not after the first
-
-    def holds(self, instant: datetime) -> bool:
-        """Whether an instant, in UTC, is inside the window."""
-        if not self.begins <= instant < self.ends:
-            return False
-        if self.daily is None:
-            return True
-        first, last = self.daily
-        now = instant.time()
-        if first < last:
-            return first <= now < last
-        return now >= first or now < last
-
-
-@dataclass(frozen=True, slots=True)
-class Contract:
-    """Capacity that a tenant has reserved. Amounts are over the whole fleet."""
-
-    tenant: str
-    customers: frozenset[int]  # ids
-    rate: float  # legs a second
-    burst: float  # legs
-    max_open: int  # legs
-    sites: frozenset[str]  # names
-    windows: tuple[Window, ...]
-    shed_order: int  # the contract with the highest number loses its reservation first
-
-    def holds(self, instant: datetime) -> bool:
-        """Whether an instant, in UTC, is inside a window of the contract."""
-        return any(window.holds(instant) for window in self.windows)
-
-
-@dataclass(frozen=True, slots=True)
-class ContractsFile:
-    """A contracts file that has passed its checks."""
-
-    sites: tuple[tuple[str, float], ...]  # name, legs a second
-    contracts: tuple[Contract, ...]
-    home: str  # the site of an ordinary RPC's one leg
-
-    @property
-    def capacity(self) -> float:
-        """What all sites together can do, in legs a second."""
-        return sum(rate for _, rate in self.sites)
-
-
 def read(path: str | Path) -> ContractsFile:
     """Reads and checks a file; raises ContractsFileError with every fault."""
     document, _ = read_toml(path, LARGEST_FILE, ContractsFileError)
@@ -184,7 +129,9 @@
     faults += [f"site: {name!r} is listed more than once" for name in dict.fromkeys(names) if names.count(name) > 1]
     faults += _shared_customers(contracts)
     file = ContractsFile(sites, contracts, home)
-    if faults := faults or list(_overbooked(file)):
+    if not faults and (instant := first_overbooked(file)):
+        faults = [f"contract: at {instant.isoformat()} {fault_at(file, instant)}"]
+    if faults:
         raise ContractsFileError(faults)
     return file
 
@@ -227,8 +174,8 @@
     for key, instant in (("from", begins), ("until", ends)):
         if not instant.tzinfo:
             raise ContractsFileError([f"{path}: {key} is {window[key]!r}, without an offset such as Z"])
-    begins = begins.astimezone(UTC)
-    ends = ends.astimezone(UTC)
+    begins = _in_utc(begins, "from", path)
+    ends = _in_utc(ends, "until", path)
     if begins >= ends:
         raise ContractsFileError([f"{path}.until: {window['until']} is not after from, {window['from']}"])
     if ("daily_from" in window) != ("daily_until" in window):
@@ -239,6 +186,14 @@
     return Window(begins, ends, daily)
 
 
+def _in_utc(instant: datetime, key: str, path: str) -> datetime:
+    """Raises ContractsFileError for an instant that its offset carries past the first or the last day there is."""
+    try:
+        return instant.astimezone(UTC)
+    except OverflowError:
+        raise ContractsFileError([f"{path}.{key}: {instant.isoformat()} is not within the years 1 to 9999 in UTC"])
+
+
 def _shared_customers(contracts: Sequence[Contract]) -> list[str]:
     """A fault for each customer that two tenants claim."""
     tenants: dict[int, str] = {}  # by customer
@@ -249,59 +204,3 @@
             if tenant != contract.tenant:
                 faults.append(f"contract[{index}].customers: {customer:016x} already belongs to tenant {tenant!r}")
     return faults
-
-
-def _instants(contracts: Sequence[Contract]) -> Iterator[datetime]:
-    """Instants that together meet every set of contracts that hold at the same time.
-
-    These are each boundary of a window, and the daily beginnings within the day after it: between two boundaries every
-    day is alike.
-    """
-    windows = [window for contract in contracts for window in contract.windows]
-    boundaries = sorted({window.begins for window in windows} | {window.ends for window in windows})
-    daily_beginnings = sorted({window.daily[0] for window in windows if window.daily})
-    for boundary in boundaries:
-        yield boundary
-        for days in range(2):
-            day = (boundary + timedelta(days=days)).date()
-            for time_of_day in daily_beginnings:
-                instant = datetime.combine(day, time_of_day, UTC)
-                if boundary <= instant < boundary + timedelta(days=1):
-                    yield instant
-
-
-def _overbooked(file: ContractsFile) -> Iterator[str]:
-    """The first instant at which contracts reserve more than their sites can do with the largest of all sites lost."""
-    checked: set[frozenset[int]] = set()  # sets of contracts, by identity
-    for number, instant in enumerate(_instants(file.contracts)):
-        if number > MAX_INSTANTS:
-            yield f"contract: over {MAX_INSTANTS} instants to check; use fewer windows"
-            return
-        holding = [contract for contract in file.contracts if contract.holds(instant)]
-        identities = frozenset(map(id, holding))
-        if identities in checked:
-            continue
-        checked.add(identities)
-        if fault := _overbooked_sites(file, holding):
-            yield f"contract: at {instant.isoformat()} {fault}"
-            return
-
-
-def _overbooked_sites(file: ContractsFile, holding: Sequence[Contract]) -> str | None:
-    """The first set of sites at which contracts that hold together reserve too much; None if there is none."""
-    names = [name for name, _ in file.sites]
-    largest = max(rate for _, rate in file.sites)
-    losses = [name for name, rate in file.sites if rate == largest]
-    for size in range(1, len(names) + 1):
-        for chosen in combinations(names, size):
-            inside = [contract for contract in holding if contract.sites.issubset(chosen)]
-            reserved = sum(contract.rate for contract in inside)
-            for lost in losses:
-                capacity = sum(rate for name, rate in file.sites if name in chosen and name != lost)
-                if inside and reserved > capacity + RATE_TOLERANCE:
-                    tenants = ", ".join(sorted(contract.tenant for contract in inside))
-                    return (
-                        f"{tenants} have {reserved:g} legs a second reserved at {', '.join(sorted(chosen))}, whose "
-                        f"capacity without {lost} is {capacity:g}"
-                    )
-    return None
