Read a book of contracts in a thread, while the old one holds

Now it is read in a thread. The old book holds until the new one is whole, and a SIGHUP meanwhile has the newest file read once more. Whatever is raised there is logged, and changes nothing. A shutdown does not wait for it.

--- a/oakfork/contracts/runner.py
+++ b/oakfork/contracts/runner.py
@@ -1,7 +1,6 @@
 """Runs the contracts of one gateway under trio: admission, loans, and allocation while it holds the "allot" lease."""
 
 import time
-import zlib
 from collections import Counter
 from collections.abc import Iterator
 from datetime import UTC, datetime
@@ -13,7 +12,7 @@
 
 from oakfork.contracts import allocation, shares
 from oakfork.contracts.admission import AdmissionResult, ContractAdmission, Tenant, fit_to_capacity
-from oakfork.contracts.contracts_file import Contract, ContractsFile, read
+from oakfork.contracts.book import Book, key_of_site, read_book
 from oakfork.contracts.messages import (
     MAX_ALLOCATIONS,
     MAX_AMOUNT,
@@ -73,19 +72,10 @@
     tenants: dict[int, Tenant]  # by key
 
 
+NOT_RELOADED = "contracts file not reloaded: it is not usable, the previous one stays in force"
 NO_ALLOCATION = CurrentAllocation(0, 0, ())
 
 
-def key_of(contract: Contract, position: int) -> int:
-    """The key of a contract at a position in the contracts file."""
-    return zlib.crc32(f"{contract.tenant}/{position}".encode())
-
-
-def key_of_site(name: str) -> int:
-    """The key of a site."""
-    return zlib.crc32(f"site/{name}".encode())
-
-
 def _batches(items: list[Item], size: int) -> Iterator[list[Item]]:
     remaining = iter(items)
     while batch := list(islice(remaining, size)):
@@ -127,7 +117,8 @@
         self.most_ready_servers = 0  # so far
         self.in_force_computed = -IN_FORCE_LIFETIME  # tenths of a millisecond
         self.sites_in_force: dict[int, SiteInForce] = {}  # by key
-        self._use(read(path))
+        self.reload_requested = trio.Event()
+        self._use(read_book(path))
         transport.handlers |= {
             AllocationUpdate: self._on_allocations,
             DemandReport: self._on_demand,
@@ -135,17 +126,12 @@
             LoanGrant: self._on_loan_grant,
         }
 
-    def _use(self, file: ContractsFile) -> None:
-        """Puts a file in force; shares of contracts and sites that were there before keep their loans."""
+    def _use(self, book: Book) -> None:
+        """Puts a book in force; shares of contracts and sites that were there before keep their loans."""
         now = steady_clock()
-        self.file = file
-        self.keys = {key_of(contract, position): contract for position, contract in enumerate(file.contracts)}
-        self.keys_of_customer: dict[int, list[int]] = {}
-        for key, contract in self.keys.items():
-            for customer in contract.customers:
-                self.keys_of_customer.setdefault(customer, []).append(key)
-        self.home = key_of_site(file.home)
-        rates = self._rates()
+        self.book = book
+        self.home = key_of_site(book.file.home)
+        rates = book.rates
         for key in [key for key in self.shares if key not in rates]:
             del self.shares[key]
         for key, rate in rates.items():
@@ -156,22 +142,27 @@
                 self.shares[key] = shares.initial_share(even, now, self.durations)
         self._expire_in_force()
 
-    def _rates(self) -> dict[int, float]:
-        """The legs a second of each contract and site, by key."""
-        of_contracts = {key: contract.rate for key, contract in self.keys.items()}
-        of_sites = {key_of_site(name): rate for name, rate in self.file.sites}
-        return of_contracts | of_sites
-
     def reread(self) -> None:
-        """On SIGHUP, reads the file again; one that is not usable changes nothing."""
-        try:
-            self._use(read(self.path))
-        except ContractsFileError as error:
-            self.log.error(
-                "contracts file not reloaded: it is not usable, the previous one stays in force", **log_fields(error)
-            )
-        else:
-            self.log.info("contracts file reloaded", contracts=len(self.file.contracts))
+        """On SIGHUP, has the file read again; one that is not usable changes nothing."""
+        self.reload_requested.set()
+
+    async def _reload(self) -> None:
+        """Reads the file again whenever that is requested, and once more if it is requested meanwhile.
+
+        It is read in a thread: the event loop has its turns every few milliseconds, whatever the file's size.
+        """
+        while True:
+            await self.reload_requested.wait()
+            self.reload_requested = trio.Event()
+            try:
+                book = await trio.to_thread.run_sync(read_book, self.path, abandon_on_cancel=True)
+            except ContractsFileError as error:
+                self.log.error(NOT_RELOADED, **log_fields(error))
+            except Exception:  # whatever the file says, the gateway goes on
+                self.log.exception(NOT_RELOADED)
+            else:
+                self._use(book)
+                self.log.info("contracts file reloaded", contracts=len(book.file.contracts))
 
     # Admission
 
@@ -183,7 +174,7 @@
         return self.sites_in_force
 
     def _compute_in_force(self, now: int, instant: datetime) -> dict[int, SiteInForce]:
-        holding = {key: contract for key, contract in self.keys.items() if contract.holds(instant)}
+        holding = {key: contract for key, contract in self.book.keys.items() if contract.holds(instant)}
         tenants = {
             key: Tenant(
                 share=self.shares[key].now(now),
@@ -194,7 +185,7 @@
             for key, contract in holding.items()
         }
         in_force = {}
-        for name, _ in self.file.sites:
+        for name, _ in self.book.file.sites:
             site = key_of_site(name)
             available = 1.0  # share of what the site can do
             if site == self.home and self.most_ready_servers:
@@ -216,7 +207,7 @@
         if site is None:
             site = self.home
         rate, tenants = self.in_force(now)[site]
-        key = next((key for key in self.keys_of_customer.get(customer, ()) if key in tenants), None)
+        key = next((key for key in self.book.keys_of_customer.get(customer, ()) if key in tenants), None)
         self.legs_asked[site] += legs
         if key is not None:
             self.legs_asked[key] += legs
@@ -242,11 +233,12 @@
     # Allocation
 
     async def run(self) -> None:
-        """Measures demand, allocates while this gateway holds the lease, and renews loans, until cancelled."""
+        """Measures demand, allocates while this gateway holds the lease, renews loans and reloads, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._measure_demand)
             nursery.start_soon(self._allocate)
             nursery.start_soon(self._renew_loans)
+            nursery.start_soon(self._reload)
 
     async def _measure_demand(self) -> None:
         measured = time.monotonic()
@@ -277,7 +269,7 @@
     def _allocations_of_gateways(self) -> list[list[Any]]:
         """Rows of `AllocationUpdate.allocations`, by gateway."""
         rows: list[list[Any]] = [[] for _ in range(self.gateways)]
-        for key, rate in self._rates().items():
+        for key, rate in self.book.rates.items():
             even = [shares.even_share(rate, gateway, self.gateways) for gateway in range(self.gateways)]
             demand = {
                 gateway: reported.by_key[key]
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -1,19 +1,11 @@
 """Contracts at one gateway: admission by token buckets, and what is in force at each site."""
 
-import socket
-
 import pytest
-import structlog
-import tomli_w
-from contract_documents import changed
-from fake_services import free_port
+from contract_documents import gateway_contracts
 
 from oakfork.contracts import runner
 from oakfork.contracts.admission import RECLAIM_TIME, SECOND, ContractAdmission, Tenant, fit_to_capacity
-from oakfork.contracts.runner import Contracts, key_of_site
-from oakfork.fleet import config
-from oakfork.fleet.transport import DatagramTransport
-from oakfork.leases.runner import LeaseRunner
+from oakfork.contracts.runner import key_of_site
 
 TENANT = 7  # the key of a contract
 ANYBODY = None  # in place of a key: who has no contract
@@ -105,33 +97,14 @@
     assert not admission.admit(SECOND, ANYBODY, 20_000, {}, site=there).wait
 
 
-def contracts(folder, **changes):
-    """The contracts of gateway 0 of 3, without a socket; their windows hold now."""
-    path = folder / "contracts.toml"
-    always = [{"from": "2020-01-01T00:00:00Z", "until": "2099-01-01T00:00:00Z"}]
-    document = changed(contract__0__window=always, contract__1__window=always, **changes)
-    path.write_bytes(tomli_w.dumps(document).encode())
-    fleet_file = config.parse(
-        {
-            "revision": 1,
-            "addresses": [free_port(socket.SOCK_DGRAM), "127.0.0.1:1", "127.0.0.1:2"],
-            "leases": {"voters": [0], "length_ms": 300, "act_ms": 50, "drift_permille": 10},
-        }
-    )
-    transport = DatagramTransport(fleet_file, 0)
-    transport.sock.close()
-    log = structlog.get_logger()
-    return Contracts(str(path), fleet_file, 0, transport, LeaseRunner(fleet_file, 0, transport, log), log)
-
-
 def test_gateway_has_its_share_at_the_sites_of_a_contract_and_home_follows_ready_servers(tmp_path, monkeypatch):
     """A contract reserves nothing at other sites, and lost servers reduce the home site alone."""
-    gateway = contracts(tmp_path, contract__1__sites=["cai-mep", "can-tho"], contract__1__legs_per_s=90.0)
+    gateway = gateway_contracts(tmp_path, contract__1__sites=["cai-mep", "can-tho"], contract__1__legs_per_s=90.0)
     home, other = key_of_site("hai-phong"), key_of_site("cai-mep")
     now = runner.steady_clock() + 60 * SECOND
     monkeypatch.setattr(runner, "steady_clock", lambda: now)
     in_force = gateway.in_force(now)
-    gemadept, viconship = gateway.keys
+    gemadept, viconship = gateway.book.keys
     assert set(in_force[home].tenants) == {gemadept} and set(in_force[other].tenants) == {gemadept, viconship}
     assert in_force[home].rate == pytest.approx(100_000 / 3, abs=1)
     assert in_force[home].tenants[gemadept].share == 26_667
