Handle a configured server by its record once the control part's first state is there

Cause: configured servers were removed only where the first state has no record of them. The agent says "removed" of servers that it has handed over before, and it had handed over none.

Now the agent knows which servers the gateway has from its configuration. With the first state each is handed over as it is there, or removed. The task beside it that looked for missing servers is gone.

--- a/oakfork/control/agent.py
+++ b/oakfork/control/agent.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from itertools import islice
-from typing import Any, Callable, Sequence
+from typing import Any, Callable, Iterable, Sequence
 
 import trio
 from structlog.stdlib import BoundLogger
@@ -10,7 +10,7 @@
 from oakfork.control import events, records
 from oakfork.control.engine import Engine, clock
 from oakfork.control.follower import Follower
-from oakfork.control.messages import Kind, Position
+from oakfork.control.messages import EMPTY, Kind, Position
 from oakfork.control.state import Records
 
 SLICE = 64  # records examined, and servers handed over, at once
@@ -23,7 +23,9 @@
     """Follows the control part and looks up records.
 
     `in_force` is called with at most SLICE servers at a time, each as it is in force at that moment; it must not wait.
-    With `service`, only servers of that service are handed over, and one that leaves it is "removed".
+    With `service`, only servers of that service are handed over, and one that leaves it is "removed". `known` are the
+    servers that the gateway has already, from its configuration: with the first state, each is handed over as it is
+    there, or "removed" if it is not there or of another service.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         log: BoundLogger,
         in_force: Callable[[Rows], None] | None = None,
         service: str | None = None,
+        known: Iterable[str] = (),
     ) -> None:
         self.store = Records()
         self.log = log
@@ -43,7 +46,7 @@
         self.engine = Engine(self.machine, log, in_force=self._in_force)
         # Changes in force that are not handed over yet; beyond MAX_WAITING_CHANGES they are merged.
         self.waiting: deque[events.Changes] = deque()
-        self.handed_over: set[str] = set()  # servers handed over and not removed since
+        self.handed_over = set(known)  # servers that the gateway has, and that were not removed since
         self.changes_waiting = trio.Event()
 
     @property
@@ -82,10 +85,14 @@
     def _in_force(self, command: events.InForce) -> None:
         if self.hand_over is None:
             return
+        changes = command.changes
+        if command.before == EMPTY:  # the first state: what the gateway has and the state has not is gone
+            had = [(Kind.SERVER, name) for name in self.handed_over]
+            changes = {**changes, **{key: None for key in had if key not in changes}}
         if len(self.waiting) < MAX_WAITING_CHANGES:
-            self.waiting.append(command.changes)
+            self.waiting.append(changes)
         else:
-            self.waiting[-1] = {**self.waiting[-1], **command.changes}
+            self.waiting[-1] = {**self.waiting[-1], **changes}
         self.changes_waiting.set()
 
     async def _hand_over_changes(self) -> None:
--- a/oakfork/fleet/services.py
+++ b/oakfork/fleet/services.py
@@ -17,8 +17,6 @@
     from oakfork.contracts.runner import Contracts
     from oakfork.control.agent import Agent
 
-FIRST_STATE_POLL = 0.1  # seconds between checks whether the agent has its first state
-
 
 class FleetServices:
     """Leases and the datagram transport, and where they are configured, contracts and the control part's agent."""
@@ -44,9 +42,6 @@
         self.leases = LeaseRunner(self.file, gateway, self.transport, log)
         self.contracts = self._contracts(gateway)
         self.on_servers = on_servers
-        self.configured_servers = [
-            str(row["id"]) for row in server_rows(configuration.known) if isinstance(row, dict) and "id" in row
-        ]
         self.agent = self._agent(configuration)
 
     def _contracts(self, gateway: int) -> "Contracts | None":
@@ -65,6 +60,7 @@
             return None
         from oakfork.control.agent import Agent
 
+        rows = server_rows(configuration.known)
         return Agent(
             configuration.name,
             control.relays,
@@ -72,6 +68,7 @@
             self.log,
             self.on_servers,
             control.service,
+            known=[str(row["id"]) for row in rows if isinstance(row, dict) and "id" in row],
         )
 
     async def run(self) -> None:
@@ -83,26 +80,10 @@
                 nursery.start_soon(self.contracts.run)
             if self.agent:
                 nursery.start_soon(self.agent.run)
-                nursery.start_soon(self._remove_unknown_servers)
             if self.file.drill:
                 client = LeaseDrillClient(self.leases, self.file.drill.target, self.file.drill.interval)
                 nursery.start_soon(client.run)
 
-    async def _remove_unknown_servers(self) -> None:
-        """Once the agent has its first state, removes configured servers that the state does not have."""
-        from oakfork.control.agent import SLICE
-        from oakfork.control.messages import EMPTY, Kind
-
-        while self.agent.position == EMPTY:
-            await trio.sleep(FIRST_STATE_POLL)
-        names = self.configured_servers
-        self.configured_servers = []
-        for start in range(0, len(names), SLICE):
-            removed = [name for name in names[start : start + SLICE] if self.agent.record(Kind.SERVER, name) is None]
-            if removed:
-                self.on_servers([{"id": name, "state": "removed"} for name in removed])
-            await trio.lowlevel.checkpoint()
-
     def reread(self) -> None:
         """On SIGHUP, reads the contracts file again. A change of the fleet file takes a restart of the gateway."""
         if self.contracts:
--- a/tests/test_control_gateway.py
+++ b/tests/test_control_gateway.py
@@ -68,8 +68,10 @@
             services=[SERVICE, SERVICE | {"name": "mail"}],
             servers=[server(1, first), server(3, other, service="mail")],
         )
-        with gateway(tmp_path, relays, [entry(0, known)], service="search") as (gateway_address, process):
-            # Once the state is there, servers of the configuration are gone; those of other services are not used.
+        configured = [entry(0, known), entry(3, other)]
+        with gateway(tmp_path, relays, configured, service="search") as (gateway_address, process):
+            # Once the state is there, servers of the configuration that it does not have, or has as those of another
+            # service by now, are gone.
             assert until(lambda: send_rpc() == (200, [0, 1, 0, 0]))
             assert all(send_rpc() == (200, [0, 1, 0, 0]) for _ in range(5))
             publish(publisher, "two", servers=[server(1, first, "draining"), server(2, second)])
