Count a voter as silent only while a question to it is open

What would have been seen: a publisher that was stopped for over 3 s, and was not overtaken, refused the change sets that waited with "no majority" when it went on, though no voter had failed to answer. Found by reading; the new test fails on the commit before.

Cause: a voter counted as answering for 3 s after its last answer. A publisher that is stopped asks nobody meanwhile. Now the 3 s begin with the first question, or the loss of the connection, after the last answer. Whether another one has taken over is found by the record, as before.

--- a/oakfork/control/grant_seeker.py
+++ b/oakfork/control/grant_seeker.py
@@ -39,7 +39,7 @@
     connected: bool = False
     asked: GrantRequest | RecordRequest | None = None  # last, on this connection
     waiting_since: int | None = None  # for the answer
-    granted_at: int | None = None  # the last answer by which it grants the term
+    silent_since: int | None = None  # the first question, or loss of the connection, after the last answer
 
 
 class GrantSeeker:
@@ -54,6 +54,8 @@
     def begin(self, now: int, term: int, mark: int, by_operator: bool) -> list[Command]:
         """Asks all voters for a term. `by_operator`: also those that have lost their memory."""
         self.grant = grants.new_grant(term, mark, by_operator, len(self.voters))
+        for voter in self.voters:
+            voter.silent_since = now
         return self._ask_all(now)
 
     def record(self, now: int, position: Position) -> list[Command]:
@@ -96,6 +98,7 @@
                 return self._ask(now, number)
             case Disconnected(link) if (number := self._number_of(link)) is not None:
                 self._disconnect(self.voters[number], "")
+                self._unanswered(now, self.voters[number])
             case FrameReceived(link, message) if (number := self._number_of(link)) is not None:
                 if isinstance(message, VoterReport):
                     return self._reported(now, number, message)
@@ -106,13 +109,16 @@
         return next((number for number, voter in enumerate(self.voters) if voter.link == link), None)
 
     def _answering(self, now: int) -> set[int]:
-        """The incarnations of the voters that grant the term and have answered lately."""
+        """The incarnations of the voters that grant the term, and have not been silent for too long.
+
+        A publisher that was stopped has asked nobody meanwhile: what voters do not know of is no silence.
+        """
         if self.grant is None:
             return set()
         return {
             view.incarnation
             for voter, view in zip(self.voters, self.grant.views, strict=True)
-            if view.has_granted and voter.granted_at is not None and now - voter.granted_at <= ANSWER_TIMEOUT
+            if view.has_granted and (voter.silent_since is None or now - voter.silent_since <= ANSWER_TIMEOUT)
         }
 
     def _reported(self, now: int, number: int, report: VoterReport) -> list[Command]:
@@ -122,7 +128,7 @@
         self.grant = grants.on_report(self.grant, number, report)
         view = self.grant.views[number]
         if (report.term, report.mark) == (self.grant.term, self.grant.mark):
-            voter.granted_at = now
+            voter.silent_since = None
         commands: list[Command] = []
         if view.memory_lost_in > lost_before:
             commands.append(CountEvent("voter without memory", voter.address))
@@ -155,8 +161,13 @@
         voter.asked = grants.request(self.grant, number)
         if voter.waiting_since is None:
             voter.waiting_since = now
+        self._unanswered(now, voter)
         return [SendFrame(voter.link, pack(voter.asked))]
 
+    def _unanswered(self, now: int, voter: _Voter) -> None:
+        if voter.silent_since is None:
+            voter.silent_since = now
+
     def _disconnect(self, voter: _Voter, reason: str) -> list[Command]:
         """Forgets a voter's connection; closes it if there is a reason for that."""
         commands: list[Command] = [Close(voter.link, reason)] if voter.link is not None and reason else []
--- a/tests/test_control_voters.py
+++ b/tests/test_control_voters.py
@@ -118,6 +118,16 @@
     assert not peer.new(3) and peer.closed[3] == "not taken back"
 
 
+def test_a_publisher_that_stood_still_and_was_not_overtaken_goes_on():
+    """It has asked nobody meanwhile, so nobody has failed to answer: a change set that waits is not refused."""
+    peer = deciding()
+    peer.now += 60_000
+    submit(peer, 1, "one", put("a", b"1"))
+    stored_at(peer, 4)
+    peer.play_for(2 * ASK_INTERVAL)
+    assert peer.new(1) == [SubmitResult("one", Position(peer.machine.term, 4), ())]
+
+
 @pytest.mark.parametrize(
     "recorded, begins, word",
     [
