Give each zone that the settings do not name an index of its own

Cause: such a zone got the index of the first zone, so the module took servers of different zones for one group.

Where the settings name all zones nothing changes.

--- a/oakfork/sockets/decision_loop.py
+++ b/oakfork/sockets/decision_loop.py
@@ -22,6 +22,7 @@
 from oakfork.sockets.outcomes import STATUS_OF_OUTCOME, Outcome
 from oakfork.sockets.peers import PeerSocket
 from oakfork.sockets.server_connections import ServerConnections
+from oakfork.sockets.zone_indices import ZoneIndices
 
 if TYPE_CHECKING:
     from oakfork.contracts.runner import Contracts
@@ -29,6 +30,7 @@
 # Tenths of a millisecond; a timer that is due sooner fires at once, since a sleep and its wake-up take longer on a busy
 # machine.
 MIN_SLEEP = 5
+MAX_LOGGED_ZONES = 16  # names in one log line
 STATE_OF_NAME = {
     "up": interface.ServerState.READY,
     "draining": interface.ServerState.DRAINING,
@@ -70,6 +72,7 @@
         self.latest = 0  # the highest time that the module's clock has shown
         self.max_timer_delay = 2 * configuration.tick
         self.own_events: deque[interface.Event] = deque()  # caused by the commands themselves; not handled yet
+        self.zones = ZoneIndices(configuration.names.zones)
         self.probes_with_load = configuration.settings.load_report_mode == "on_probe"
         self.module = DecisionModule(configuration.settings, self.now())
         self._handle(interface.ServerList(True, False, self._entries(server_rows(configuration.known))))
@@ -325,12 +328,13 @@
     def _entries(self, rows: Sequence[Mapping[str, Any]]) -> tuple[interface.ServerEntry, ...]:
         """The usable rows of a list as entries for the module; rows that are not usable are logged and left out."""
         entries = []
+        unnamed_zones = set()
         for row in rows:
             try:
                 state = STATE_OF_NAME[row["state"]]
                 name = str(row["id"])
                 address = parse_address(row["addr"]) if row.get("addr") else None
-                zone = self.configuration.names.zones.get(row.get("zone"), 0)
+                zone = self.zones.index_of(row.get("zone"))
                 cell = int(row.get("cell", 0))
                 up_since = int(row.get("started_ms", 0) * 10)
                 weight = float(row.get("weight", 1.0))
@@ -339,9 +343,17 @@
                 continue
             if address is None and name not in self.index_table.servers:  # removed before it was known
                 continue
+            if row.get("zone") in self.zones.unnamed or zone is None:
+                unnamed_zones.add(str(row["zone"]))
+            if zone is None:  # it can't be told from others, so a server there gets nothing new
+                zone = 0
+                state = interface.ServerState.DRAINING if state is interface.ServerState.READY else state
             index = self._register(name, state, address, up_since)
             global_id = int.from_bytes(name.encode(), "big")
             entries.append(interface.ServerEntry(index, global_id, zone, cell, state, up_since, weight))
+        if unnamed_zones:
+            named = sorted(unnamed_zones)[:MAX_LOGGED_ZONES]
+            self.log.warning("zones not named in the settings", zones=named, count=len(unnamed_zones))
         return tuple(entries)
 
     def _register(self, name: str, state: interface.ServerState, address: Address | None, up_since: int) -> int:
