Tell a limit of nothing at all from no limit, so that ceilings hold without the owner

Cause: under a ceiling the slices share what the owner's bucket leaves of it. There that is nothing, a rate of 0, which was read as "no quota". In QuotaLimits no limit is None now, and 0.0 is nothing at all: such a slice grants nothing and keeps no bucket.

--- a/oakfork/decision/context.py
+++ b/oakfork/decision/context.py
@@ -62,7 +62,7 @@
 class QuotaLimits(NamedTuple):
     """The size of a bucket: a whole quota at its owner, or a gateway's slice of it."""
 
-    rate: float  # tokens a tenth of a millisecond
+    rate: float | None  # tokens a tenth of a millisecond; None: no limit, 0.0: nothing at all
     capacity: float  # tokens
     concurrency: int  # open call-outs; 0: any number
 
--- a/oakfork/decision/quotas.py
+++ b/oakfork/decision/quotas.py
@@ -74,7 +74,8 @@
         """The limits of the owner's bucket and of a gateway's slice.
 
         Exceptions: a slice holds at least one request, or it could never grant any. Under a ceiling the
-        slices other than the owner's share all that the owner's bucket leaves, because RPCs come unevenly.
+        slices other than the owner's share all that the owner's bucket leaves, because RPCs come unevenly;
+        where the ceiling is no higher than the quota that is nothing, and they grant nothing.
         """
         rate, burst = plan.rate, plan.burst
         ceiling_rate, ceiling_burst = plan.ceiling_rate, plan.ceiling_burst
@@ -89,8 +90,12 @@
             others = max(1, gateways - 1)
             slice_rate = min(rate, (ceiling_rate - rate) / others)
             slice_burst = min(burst, (ceiling_burst - burst) / others)
-        whole = QuotaLimits(rate / SECOND, burst, plan.concurrency)
         slice_concurrency = -(-plan.concurrency // gateways)  # rounded up
+        if not rate:  # the plan limits open call-outs alone
+            return QuotaLimits(None, burst, plan.concurrency), QuotaLimits(
+                None, slice_burst, slice_concurrency
+            )
+        whole = QuotaLimits(rate / SECOND, burst, plan.concurrency)
         return whole, QuotaLimits(slice_rate / SECOND, slice_burst, slice_concurrency)
 
     def bucket(
@@ -112,10 +117,11 @@
                 updated, missing = self.context.started_at, limits.capacity
             else:
                 updated, missing = LONG_AGO, 0.0
-            tokens = limits.capacity * (not limits.rate)
+            tokens = limits.capacity * (limits.rate is None)
             bucket = buckets[request.customer, request.plan] = Bucket(tokens, updated, missing)
             self.context.at(now, self._drop_if_full, buckets, request, limits)
-        bucket.tokens = min(limits.capacity, bucket.tokens + (now - bucket.updated) * limits.rate)
+        refill = (now - bucket.updated) * (limits.rate or 0.0)
+        bucket.tokens = min(limits.capacity, bucket.tokens + refill)
         bucket.updated = now
         return bucket
 
@@ -137,15 +143,20 @@
         limits: QuotaLimits,
         holder: tuple,
     ) -> int:
-        """Takes a request's units and place from a bucket: 0 if granted, else the time until it could be."""
+        """Takes a request's units and place from a bucket: 0 if granted, else the time until it could be.
+
+        A limit of nothing at all needs no bucket: by the longest deadline the owner may answer again.
+        """
+        if limits.rate == 0.0:
+            return self.servers.longest_deadline
         bucket = self.bucket(buckets, request, limits)
         now = self.context.now
         bucket.leases = {held: lapses for held, lapses in bucket.leases.items() if lapses > now}
         if limits.concurrency and len(bucket.leases) >= limits.concurrency:
             return max(1, int(self.servers.mean_latency))
-        if limits.rate and bucket.tokens < request.units:
+        if limits.rate is not None and bucket.tokens < request.units:
             return max(1, int((request.units - bucket.tokens) / limits.rate))
-        if limits.rate:
+        if limits.rate is not None:
             bucket.tokens -= request.units
         if limits.concurrency:
             bucket.leases |= {holder: now + self.servers.longest_deadline}
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -217,3 +217,33 @@
     again = [request._replace(rpc=100 + request.rpc) for request in requests]
     sent = [sum(sends(module.handle(3, request)) for request in again[plan::2]) for plan in (0, 1)]
     assert sent == [0, int(PLANS[1].burst)]
+
+
+@pytest.mark.parametrize("ceiling_rate, ceiling_burst", [(10.0, 20.0), (5.0, 20.0), (10.0, 10.0), (10.0, 30.0)])
+def test_a_ceiling_no_higher_than_the_quota_holds_without_the_owner(ceiling_rate, ceiling_burst):
+    """Guards against a slice of nothing at all that is taken for no limit: all that came was sent on."""
+    plan = interface.Plan(10.0, 20.0, 0, ceiling_rate, ceiling_burst, 3.0, 1.0, 0.0, 1.0)
+    module = gateway(1, 2, plans=(plan,))
+    customer = owned_by(0, 2)  # whose gateway never answers
+    sent = refused = 0
+    for rpc in range(400):
+        now = 20 * SECOND + rpc * SECOND // 50
+        commands = module.handle(now, arrival(rpc, customer, spread=2))
+        commands += module.handle(now + ASK_TIMEOUT * 4, interface.TimerFired(0))
+        sent += sends(commands)
+        refused += interface.PushBack in kinds(commands)
+    assert sent == 0 and refused > 300
+    assert not module.quotas.slices  # and nothing is kept for it
+
+
+def test_a_plan_that_limits_open_call_outs_alone_has_no_other_limit():
+    """No limit is not a limit of zero."""
+    plan = interface.Plan(0.0, 0.0, 3, 0.0, 0.0, 0.0, 1.0, 0.0, 1.0)
+    module = gateway(plans=(plan,))
+    sent = 0
+    for rpc in range(40):
+        commands = module.handle(rpc * 100, arrival(rpc))
+        sent += sends(commands)
+        if sends(commands):
+            module.handle(rpc * 100 + 1, ended(rpc, 0, next(iter(module.rpcs[rpc].open_call_outs.values()))))
+    assert sent == 40
